Add the workspace and the lease machines with a schedule search

Cause: ownership without a consensus group rests on six rules whose interplay is easy to get wrong; they come first, as pure machines.

Ruled out: two sponsors judging by the table which sponsor set is in force; a sponsor whose table is newer than the owner's never reported the lapse. The renewal now names the second sponsor.

--- /dev/null
+++ b/crates/lease/src/table.rs
@@ -0,0 +1,250 @@
+//! The slice table: what the platform's store says about owners, successors and sponsors.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::{Epoch, Incarnation, SliceId, TableVersion};
+
+/// Who owns a slice and who succeeds, since which table version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Assignment {
+    /// Owner.
+    pub owner: Incarnation,
+    /// Takes over when every sponsor of the owner has released.
+    pub successor: Incarnation,
+    /// Table version that made the assignment.
+    pub since: TableVersion,
+}
+
+/// The assignment before the present one, kept until a new holder is confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Previous {
+    /// What was in force.
+    pub assignment: Assignment,
+    /// First table version in which it no longer was.
+    pub until: TableVersion,
+}
+
+/// A range of key hashes with its assignment.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Slice {
+    /// Identity.
+    pub id: SliceId,
+    /// Slice that this one was split from.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<SliceId>,
+    /// First key hash of the range; it ends where the next slice of the service starts.
+    pub start: u64,
+    /// Assignment in force.
+    pub current: Assignment,
+    /// Earlier assignment that may still be held.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous: Option<Previous>,
+}
+
+/// The sponsors named for one owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Grant {
+    /// Counts the owner's sponsor sets.
+    pub epoch: Epoch,
+    /// Sponsors, in availability zones other than the owner's where there are any.
+    pub sponsors: [Incarnation; 2],
+}
+
+/// What others need to know about a member.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Peer {
+    /// Name of the instance.
+    pub instance: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Service of the upstream beside it.
+    pub service: String,
+    /// Address for datagrams and calls.
+    pub address: SocketAddr,
+    /// Whether the instance is leaving and gets no new slices.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// A member's entry in the table.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Replica {
+    /// Where and what it is.
+    pub peer: Peer,
+    /// Its sponsors.
+    pub grant: Grant,
+}
+
+/// Why an edit of the table is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EditError {
+    /// No slice has this identity.
+    #[error("no slice {0}")]
+    UnknownSlice(SliceId),
+    /// No member has this incarnation.
+    #[error("no member {0}")]
+    UnknownMember(Incarnation),
+    /// The slice's last change isn't confirmed, or a possible holder isn't proven gone.
+    #[error("slice {0} may still be held under an earlier assignment")]
+    Unsettled(SliceId),
+    /// More than one sponsor would change.
+    #[error("a sponsor change has to keep one sponsor and name two others than the owner")]
+    Sponsors,
+    /// The slice can't be split there.
+    #[error("slice {0} has no such inner boundary")]
+    Boundary(SliceId),
+}
+
+/// The whole table. Edits raise the version and keep the rules that the machines rely on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Table {
+    /// Version of this content.
+    pub version: TableVersion,
+    /// Identity of the next slice.
+    pub next_slice: SliceId,
+    /// Members by incarnation.
+    pub members: BTreeMap<Incarnation, Replica>,
+    /// Slices of each service, by first key hash.
+    pub services: BTreeMap<String, Vec<Slice>>,
+}
+
+impl Table {
+    /// All slices of all services.
+    pub fn slices(&self) -> impl Iterator<Item = &Slice> {
+        self.services.values().flatten()
+    }
+
+    /// The slice of `service` that a key hash falls into.
+    pub fn locate(&self, service: &str, hash: u64) -> Option<&Slice> {
+        let slices = self.services.get(service)?;
+        let after = slices.partition_point(|slice| slice.start <= hash);
+        slices.get(after.checked_sub(1)?)
+    }
+
+    /// Looks a slice up by identity.
+    pub fn slice(&self, id: SliceId) -> Option<&Slice> {
+        self.slices().find(|slice| slice.id == id)
+    }
+
+    fn slice_mut(&mut self, id: SliceId) -> Result<&mut Slice, EditError> {
+        let found = self.services.values_mut().flatten().find(|slice| slice.id == id);
+        found.ok_or(EditError::UnknownSlice(id))
+    }
+
+    /// Adds a slice to a service whose key space doesn't hold one at `start` yet.
+    pub fn add_slice(&mut self, service: &str, start: u64, owner: Incarnation, next: Incarnation) {
+        let id = self.next_slice;
+        self.next_slice += 1;
+        let current = Assignment { owner, successor: next, since: self.version };
+        let slices = self.services.entry(service.to_owned()).or_default();
+        let at = slices.partition_point(|slice| slice.start < start);
+        slices.insert(at, Slice { id, parent: None, start, current, previous: None });
+    }
+
+    /// Splits a slice at `start`; the new part keeps the assignment.
+    ///
+    /// # Errors
+    /// The slice is unknown, unsettled, or `start` isn't inside of it.
+    pub fn split(&mut self, id: SliceId, start: u64) -> Result<SliceId, EditError> {
+        let next = self.next_slice;
+        let (service, at) = self
+            .services
+            .iter()
+            .find_map(|(name, slices)| {
+                slices.iter().position(|slice| slice.id == id).map(|at| (name.clone(), at))
+            })
+            .ok_or(EditError::UnknownSlice(id))?;
+        let slices = self.services.get_mut(&service).ok_or(EditError::UnknownSlice(id))?;
+        let end = slices.get(at + 1).map_or(u64::MAX, |slice| slice.start);
+        if slices[at].previous.is_some() {
+            return Err(EditError::Unsettled(id));
+        }
+        if start <= slices[at].start || start >= end {
+            return Err(EditError::Boundary(id));
+        }
+        let part = Slice { id: next, parent: Some(id), start, ..slices[at].clone() };
+        slices.insert(at + 1, part);
+        self.next_slice += 1;
+        Ok(next)
+    }
+
+    /// Assigns a slice anew. `gone` holds the incarnations that are proven gone. Takes effect for
+    /// the members once [`Table::version`] is raised; call it after [`Table::begin`].
+    ///
+    /// # Errors
+    /// The slice is unknown, or a holder under an assignment before the present one isn't ruled
+    /// out yet.
+    pub fn assign(
+        &mut self,
+        id: SliceId,
+        owner: Incarnation,
+        successor: Incarnation,
+        gone: &BTreeSet<Incarnation>,
+    ) -> Result<(), EditError> {
+        let version = self.version;
+        let slice = self.slice_mut(id)?;
+        let previous = slice.previous_after(owner, version, gone)?;
+        slice.current = Assignment { owner, successor, since: version };
+        slice.previous = previous;
+        Ok(())
+    }
+
+    /// Starts an edit: all changes until the table is stored carry the next version.
+    pub fn begin(&mut self) {
+        self.version += 1;
+    }
+
+    /// Drops the earlier assignment of a slice whose holder under the present one reported.
+    pub fn settle(&mut self, id: SliceId, since: TableVersion) -> bool {
+        let Ok(slice) = self.slice_mut(id) else { return false };
+        slice.current.since == since && slice.previous.take().is_some()
+    }
+
+    /// Names another sponsor set for `owner`, keeping one of the two.
+    ///
+    /// # Errors
+    /// The owner is unknown, or the set doesn't keep exactly one sponsor.
+    pub fn sponsor(
+        &mut self,
+        owner: Incarnation,
+        sponsors: [Incarnation; 2],
+    ) -> Result<(), EditError> {
+        let replica = self.members.get_mut(&owner).ok_or(EditError::UnknownMember(owner))?;
+        let kept = sponsors.iter().filter(|s| replica.grant.sponsors.contains(s)).count();
+        if kept != 1 || sponsors.contains(&owner) || sponsors[0] == sponsors[1] {
+            return Err(EditError::Sponsors);
+        }
+        replica.grant = Grant { epoch: replica.grant.epoch + 1, sponsors };
+        Ok(())
+    }
+}
+
+impl Slice {
+    /// Everyone who may hold the slice under the table's knowledge.
+    pub fn possible_holders(&self) -> BTreeSet<Incarnation> {
+        let earlier = self.previous.map(|previous| previous.assignment);
+        let assignments = std::iter::once(self.current).chain(earlier);
+        assignments.flat_map(|assignment| [assignment.owner, assignment.successor]).collect()
+    }
+
+    fn previous_after(
+        &self,
+        owner: Incarnation,
+        version: TableVersion,
+        gone: &BTreeSet<Incarnation>,
+    ) -> Result<Option<Previous>, EditError> {
+        let mut holders = self.possible_holders();
+        holders.retain(|holder| !gone.contains(holder) && *holder != owner);
+        if holders.is_empty() {
+            return Ok(None);
+        }
+        let Some(previous) = self.previous else {
+            return Ok(Some(Previous { assignment: self.current, until: version }));
+        };
+        let heir = self.current.successor;
+        let replaced =
+            gone.contains(&self.current.owner) && (heir == owner || gone.contains(&heir));
+        if replaced { Ok(Some(previous)) } else { Err(EditError::Unsettled(self.id)) }
+    }
+}
--- /dev/null
+++ b/crates/lease/tests/world/deviation.rs
@@ -0,0 +1,121 @@
+//! Fakes that break one rule of the protocol each, by changing what passes between machines.
+
+use std::collections::BTreeMap;
+
+use cactushold_lease::{Envelope, Incarnation, Known, Member, Message, Number, Time};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deviation {
+    /// Everything by the rules.
+    None,
+    /// A sponsor releases on the first request, without waiting the lease out.
+    ReleaseEarly,
+    /// A sponsor that released goes on renewing.
+    RenewAfterRelease,
+    /// An owner counts a renewal from its arrival in place of its sending.
+    CountFromArrival,
+    /// A joining sponsor's answers count before the kept one has answered.
+    CountJoiningAtOnce,
+    /// A holder gives a slice up before a sponsor knows the table.
+    YieldUnacknowledged,
+    /// Releases don't name the newest table known.
+    ForgetTableInRelease,
+    /// A joining sponsor starts without the owner's newest table.
+    JoinWithoutTable,
+    /// A restarted process goes on under its old incarnation.
+    RememberIdentity,
+}
+
+impl Deviation {
+    /// Sees what leaves a machine; no fake changes that.
+    pub fn outgoing(self, _envelope: &Envelope) {}
+
+    /// Replaces a message that is about to arrive.
+    pub fn incoming(
+        self,
+        envelope: Envelope,
+        receiver: &Member,
+        now: Time,
+        out: &mut Vec<Envelope>,
+    ) -> Vec<Envelope> {
+        let Envelope { from, to, message } = envelope;
+        let reply = |message| Envelope { from: to, to: from, message };
+        let message = match (self, message) {
+            (Deviation::ReleaseEarly, Message::Ask { number }) => {
+                let known = Known { config: 0, table: receiver.known().table };
+                out.push(reply(Message::Released { number, known }));
+                return Vec::new();
+            }
+            (Deviation::RenewAfterRelease, Message::Renew { number, sent, known, other }) => {
+                out.push(reply(Message::Renewed { number, sent, known }));
+                Message::Renew { number, sent, known, other }
+            }
+            (Deviation::CountFromArrival, Message::Renewed { number, known, .. }) => {
+                Message::Renewed { number, sent: now, known }
+            }
+            (Deviation::CountJoiningAtOnce, Message::Renewed { number, sent, known }) => {
+                return count_for_both(receiver, to, from, number, sent, known);
+            }
+            (Deviation::YieldUnacknowledged, Message::Claim { slice, since }) => {
+                if receiver.known().table >= since {
+                    let known = Known { table: since, config: 0 };
+                    return acknowledge(receiver, from, to, known, Message::Claim { slice, since });
+                }
+                Message::Claim { slice, since }
+            }
+            (Deviation::ForgetTableInRelease, Message::Released { number, .. }) => {
+                let known = Known { table: oldest_assignment(receiver, number.owner), config: 0 };
+                Message::Released { number, known }
+            }
+            (Deviation::JoinWithoutTable, Message::Renew { number, other, sent, .. })
+                if number.epoch > 1 =>
+            {
+                Message::Renew { number, other, sent, known: Known::default() }
+            }
+            (_, message) => message,
+        };
+        vec![Envelope { from, to, message }]
+    }
+}
+
+fn count_for_both(
+    receiver: &Member,
+    to: Incarnation,
+    from: Incarnation,
+    number: Number,
+    sent: Time,
+    known: Known,
+) -> Vec<Envelope> {
+    let sponsors = receiver.owner().map_or([from; 2], |owner| owner.sponsors());
+    let answer = Message::Renewed { number, sent, known };
+    sponsors.map(|from| Envelope { from, to, message: answer.clone() }).to_vec()
+}
+
+/// Makes the holder believe that a sponsor knows the table, without any lease time.
+fn acknowledge(
+    receiver: &Member,
+    from: Incarnation,
+    to: Incarnation,
+    known: Known,
+    claim: Message,
+) -> Vec<Envelope> {
+    let mut messages = Vec::new();
+    if let Some(owner) = receiver.owner() {
+        let message = Message::Renewed { number: owner.number(), sent: Time::ZERO, known };
+        messages.push(Envelope { from: owner.sponsors()[0], to, message });
+    }
+    messages.push(Envelope { from, to, message: claim });
+    messages
+}
+
+fn oldest_assignment(receiver: &Member, owner: Incarnation) -> u64 {
+    let mut oldest: BTreeMap<Incarnation, u64> = BTreeMap::new();
+    for slice in receiver.table().slices() {
+        let earlier = slice.previous.map(|previous| previous.assignment);
+        for assignment in std::iter::once(slice.current).chain(earlier) {
+            let since = oldest.entry(assignment.owner).or_insert(u64::MAX);
+            *since = (*since).min(assignment.since);
+        }
+    }
+    oldest.get(&owner).copied().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/quota/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
