Add configuration, placement, quota, admission, attempt and platform parts

Cause: the daemons need their decisions as pure machines before any I/O. Change: the crates with their documentation examples, and stand-ins for the platform and an upstream. Ruled out: batches of tokens handed out ahead of use, which pass the envelope by rate times term; loans of rate and depth whose sum with what is kept never passes the whole are used instead. Conclusion: not wired yet.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,1 +1,14 @@
-//! placeholder
+//! Keeps an upstream alive: slots, a fair queue with deadlines, and a ramp for cold starts.
+
+mod gate;
+mod queue;
+mod ramp;
+
+pub use crate::{
+    gate::{Arrival, Gate, Load},
+    queue::{Queue, Refusal, Waiting},
+    ramp::{Ramp, Signal},
+};
+
+/// Identifies a waiting request at its gate.
+pub type Ticket = u64;
--- /dev/null
+++ b/crates/attempt/src/balance.rs
@@ -0,0 +1,113 @@
+//! The choice between upstreams of an unkeyed service.
+
+use std::time::Duration;
+
+/// Weight of a new sample in the moving average of latency.
+const SMOOTHING: f64 = 0.2;
+/// A failed attempt counts as a latency of this much.
+const FAILURE_COST: Duration = Duration::from_millis(250);
+/// After this long without a sample, an average is half forgotten, so that stragglers are probed.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// What an ingress has seen of one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Score {
+    latency_s: f64,
+    in_flight: u32,
+    sampled_at: Duration,
+}
+
+impl Score {
+    /// Notes an attempt sent.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Notes an attempt that ended after `latency`; failures count as slow.
+    pub fn ended(&mut self, latency: Duration, failed: bool, now: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let sample = if failed { latency.max(FAILURE_COST) } else { latency }.as_secs_f64();
+        let old = self.latency(now);
+        self.latency_s = if old == 0.0 { sample } else { old + SMOOTHING * (sample - old) };
+        self.sampled_at = now;
+    }
+
+    /// Notes an attempt that was given up; tells that the upstream took at least `elapsed`.
+    pub fn abandoned(&mut self, elapsed: Duration, now: Duration) {
+        let slower = elapsed.as_secs_f64() > self.latency(now);
+        if slower {
+            self.ended(elapsed, false, now);
+        } else {
+            self.in_flight = self.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Attempts under way.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    fn latency(&self, now: Duration) -> f64 {
+        let idle = now.saturating_sub(self.sampled_at).as_secs_f64();
+        self.latency_s * 0.5_f64.powf(idle / HALF_LIFE.as_secs_f64())
+    }
+
+    /// Expected cost of one more attempt, in seconds.
+    pub fn cost(&self, now: Duration) -> f64 {
+        (self.latency(now) + 1e-4) * f64::from(self.in_flight + 1)
+    }
+}
+
+/// One upstream that may be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What was seen of it.
+    pub score: &'a Score,
+    /// Whether it is in the chooser's own availability zone.
+    pub is_local: bool,
+}
+
+/// The choice among candidates.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice;
+
+impl Choice {
+    /// Picks the cheaper of two random candidates, and the local one when they are about equal.
+    ///
+    /// ```
+    /// use cactushold_attempt::{Candidate, Choice, Score};
+    /// use std::time::Duration;
+    /// let now = Duration::from_secs(1);
+    /// let (mut slow, mut quick) = (Score::default(), Score::default());
+    /// slow.ended(Duration::from_millis(90), false, now);
+    /// quick.ended(Duration::from_millis(3), false, now);
+    /// let candidates = [&slow, &quick].map(|score| Candidate { score, is_local: false });
+    /// let mut random = fastrand::Rng::with_seed(1);
+    /// assert_eq!(Choice::pick(&candidates, now, &mut random), Some(1));
+    /// ```
+    pub fn pick(
+        candidates: &[Candidate<'_>],
+        now: Duration,
+        random: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        match candidates.len() {
+            0 => None,
+            1 => Some(0),
+            count => {
+                let first = random.usize(..count);
+                let second = (first + random.usize(1..count)) % count;
+                Some(Choice::better(candidates, first, second, now))
+            }
+        }
+    }
+
+    fn better(candidates: &[Candidate<'_>], a: usize, b: usize, now: Duration) -> usize {
+        const ABOUT_EQUAL: f64 = 1.25;
+        let (cost_a, cost_b) = (candidates[a].score.cost(now), candidates[b].score.cost(now));
+        let close = cost_a < cost_b * ABOUT_EQUAL && cost_b < cost_a * ABOUT_EQUAL;
+        if close && candidates[a].is_local != candidates[b].is_local {
+            return if candidates[a].is_local { a } else { b };
+        }
+        if cost_a <= cost_b { a } else { b }
+    }
+}
--- /dev/null
+++ b/crates/attempt/src/budget.rs
@@ -0,0 +1,40 @@
+//! Bounds retries and hedges by a fraction of first attempts.
+
+/// A retry budget: first attempts fill it, further ones empty it.
+///
+/// ```
+/// use cactushold_attempt::Budget;
+/// let mut budget = Budget::new(0.5, 1.0);
+/// assert!(budget.spend(), "the reserve allows one");
+/// assert!(!budget.spend());
+/// budget.earn();
+/// budget.earn();
+/// assert!(budget.spend(), "two first attempts earn one retry");
+/// ```
+#[derive(Clone, Debug)]
+pub struct Budget {
+    fraction: f64,
+    reserve: f64,
+    tokens: f64,
+}
+
+impl Budget {
+    /// Allows `fraction` further attempts a first one, and `reserve` saved up at most.
+    pub fn new(fraction: f64, reserve: f64) -> Budget {
+        Budget { fraction, reserve, tokens: reserve }
+    }
+
+    /// Notes a first attempt.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.fraction).min(self.reserve);
+    }
+
+    /// Takes one further attempt, if there is one.
+    pub fn spend(&mut self) -> bool {
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+}
--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -1,1 +1,15 @@
-//! placeholder
+//! What may be tried again, what may be said to a caller, and where a request goes.
+
+mod balance;
+mod budget;
+mod idempotency;
+mod kind;
+mod retry;
+
+pub use crate::{
+    balance::{Candidate, Choice, Score},
+    budget::Budget,
+    idempotency::{Entry, Recorded, Records},
+    kind::{Advice, Kind, Ran},
+    retry::{Backoff, Phase, Verdict, may_retry},
+};
--- /dev/null
+++ b/crates/attempt/src/retry.rs
@@ -0,0 +1,77 @@
+//! When a failed attempt may be followed by another one.
+
+use std::time::Duration;
+
+use crate::{Kind, Ran};
+
+/// How far an attempt got when it failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Nothing left this process.
+    NotSent,
+    /// It was sent and no refusal came back.
+    Sent,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Try again after this pause.
+    Again(Duration),
+    /// Answer the caller with this kind.
+    Say(Kind),
+}
+
+/// Whether another attempt may be made at all.
+///
+/// ```
+/// use cactushold_attempt::{Kind, may_retry};
+/// assert!(may_retry(Kind::Shed, false), "an explicit refusal is safe to repeat");
+/// assert!(!may_retry(Kind::Broken, false), "it may have run");
+/// assert!(may_retry(Kind::Broken, true), "an idempotent request may run twice");
+/// ```
+pub fn may_retry(kind: Kind, idempotent: bool) -> bool {
+    kind.is_transient() && (idempotent || kind.ran() == Ran::No)
+}
+
+/// Capped exponential back-off with full jitter.
+#[derive(Clone, Copy, Debug)]
+pub struct Backoff {
+    /// Upper bound of the first pause.
+    pub base: Duration,
+    /// Upper bound of every pause.
+    pub cap: Duration,
+}
+
+impl Backoff {
+    /// The pause before attempt number `attempt` (the first retry is 1).
+    ///
+    /// ```
+    /// use cactushold_attempt::Backoff;
+    /// use std::time::Duration;
+    /// let backoff = Backoff { base: Duration::from_millis(2), cap: Duration::from_millis(50) };
+    /// let mut random = fastrand::Rng::with_seed(1);
+    /// assert!(backoff.pause(1, &mut random) <= Duration::from_millis(2));
+    /// assert!(backoff.pause(40, &mut random) <= Duration::from_millis(50));
+    /// ```
+    pub fn pause(&self, attempt: u32, random: &mut fastrand::Rng) -> Duration {
+        let doubled = self.base.saturating_mul(1_u32 << attempt.saturating_sub(1).min(16));
+        doubled.min(self.cap).mul_f64(random.f64())
+    }
+
+    /// Decides what follows a failed attempt. `left` is the time until the caller's deadline.
+    pub fn verdict(
+        &self,
+        kind: Kind,
+        idempotent: bool,
+        attempt: u32,
+        left: Duration,
+        random: &mut fastrand::Rng,
+    ) -> Verdict {
+        if !may_retry(kind, idempotent) {
+            return Verdict::Say(kind);
+        }
+        let pause = self.pause(attempt, random);
+        if pause >= left { Verdict::Say(kind) } else { Verdict::Again(pause) }
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,18 @@
-//! placeholder
+//! The versioned configuration, patches against it, and a daemon's settings.
+
+mod document;
+mod patch;
+mod secret;
+pub mod settings;
+
+pub use crate::{
+    document::{Change, Config, Key, Service, Workspace, Zone},
+    patch::{Operation, Outcome, Patch, Refusal},
+    secret::{Hash, hash_key},
+    settings::Settings,
+};
+
+/// Version of the configuration, strictly rising.
+pub type Version = u64;
+/// Chosen by whoever sends a patch; makes it safe to send it again.
+pub type PatchId = String;
--- /dev/null
+++ b/crates/config/src/secret.rs
@@ -0,0 +1,39 @@
+//! Workspace keys are kept as hashes and compared in constant time.
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// SHA-256 of a workspace key, in lower-case hex.
+#[derive(Clone, Debug, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Hash(String);
+
+impl PartialEq for Hash {
+    fn eq(&self, other: &Hash) -> bool {
+        self.0.as_bytes().ct_eq(other.0.as_bytes()).into()
+    }
+}
+
+impl Hash {
+    /// The hash as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether the text has the form of a hash.
+    pub fn is_valid(&self) -> bool {
+        self.0.len() == 64 && self.0.bytes().all(|byte| byte.is_ascii_hexdigit())
+    }
+}
+
+/// Hashes a workspace key.
+///
+/// ```
+/// use cactushold_config::hash_key;
+/// assert_eq!(hash_key(b"secret"), hash_key(b"secret"));
+/// assert_ne!(hash_key(b"secret"), hash_key(b"Secret"));
+/// ```
+pub fn hash_key(key: &[u8]) -> Hash {
+    let digest = Sha256::digest(key);
+    Hash(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+}
--- a/crates/lease/src/member.rs
+++ b/crates/lease/src/member.rs
@@ -137,7 +137,10 @@
 
     /// Takes up a newer configuration version.
     pub fn learn_config(&mut self, version: u64) {
-        self.known.config = self.known.config.max(version);
+        if version > self.known.config {
+            self.known.config = version;
+            self.renewed_at = None;
+        }
     }
 
     /// Takes up a newer table; an older one is ignored.
@@ -146,6 +149,7 @@
             return;
         }
         self.known.table = table.version;
+        self.renewed_at = None;
         let first_new = self.table.next_slice;
         self.table = table;
         self.take_up_grant();
@@ -235,7 +239,6 @@
                 }
             }
         }
-        self.renewed_at = None;
     }
 
     /// Holds the parts of slices that were held when the table with the split arrived.
@@ -307,6 +310,7 @@
             return Decision::Ignored;
         }
         self.told_at.remove(&from);
+        let known = known.merge(self.known);
         match self.sponsored.get_mut(&from) {
             Some(sponsor) => sponsor.renew(number, other, known, now),
             None => {
@@ -366,7 +370,7 @@
 
     fn on_ask(&mut self, from: Incarnation, number: Number, now: Time, out: &mut Vec<Envelope>) {
         let Some(sponsor) = self.sponsored.get_mut(&number.owner) else { return };
-        if let Some(known) = sponsor.release(number, now, &self.timing) {
+        if let Some(known) = sponsor.release(number, self.known, now, &self.timing) {
             self.send(from, Message::Released { number, known }, out);
         }
     }
--- a/crates/lease/src/sponsor.rs
+++ b/crates/lease/src/sponsor.rs
@@ -20,9 +20,10 @@
 /// let timing = Timing::default();
 /// let number = Number { owner: 7, epoch: 1 };
 /// let mut sponsor = Sponsor::join(number, 9, Known::default(), Duration::ZERO);
-/// let too_early = sponsor.release(number, timing.lease, &timing);
+/// let too_early = sponsor.release(number, Known::default(), timing.lease, &timing);
 /// assert_eq!(too_early, None);
-/// assert!(sponsor.release(number, timing.lease + timing.margin, &timing).is_some());
+/// let lapsed = timing.lease + timing.margin;
+/// assert!(sponsor.release(number, Known::default(), lapsed, &timing).is_some());
 /// let late = sponsor.renew(number, 9, Known::default(), Duration::from_secs(1));
 /// assert_eq!(late, Decision::Ignored);
 /// ```
@@ -81,11 +82,21 @@
     }
 
     /// Releases the lease under `number` if it has run out; repeats the answer if it did before.
-    pub fn release(&mut self, number: Number, now: Time, timing: &Timing) -> Option<Known> {
+    /// `known` are the newest versions that the sponsoring process knows.
+    pub fn release(
+        &mut self,
+        number: Number,
+        known: Known,
+        now: Time,
+        timing: &Timing,
+    ) -> Option<Known> {
         if number != self.number || !(self.released || self.has_lapsed(now, timing)) {
             return None;
         }
-        self.released = true;
+        if !self.released {
+            self.known = self.known.merge(known);
+            self.released = true;
+        }
         Some(self.known)
     }
 }
--- /dev/null
+++ b/crates/placement/src/load.rs
@@ -0,0 +1,50 @@
+//! Measures of a table: imbalance and churn.
+
+use std::collections::BTreeMap;
+
+use cactushold_lease::{Incarnation, SliceId, Table};
+
+/// Share of the key space by owner, of one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Imbalance {
+    /// Largest share over mean share.
+    pub max_over_mean: f64,
+    /// Owners counted.
+    pub owners: usize,
+}
+
+fn spans<'a>(table: &'a Table, service: &str) -> impl Iterator<Item = (&'a SpanOf, u64)> {
+    let slices = table.services.get(service).map(Vec::as_slice).unwrap_or_default();
+    slices.iter().enumerate().map(move |(at, slice)| {
+        let end = slices.get(at + 1).map_or(u64::MAX, |next| next.start);
+        (slice, end - slice.start)
+    })
+}
+
+type SpanOf = cactushold_lease::Slice;
+
+/// Imbalance of a service by share of the key space; nothing without slices.
+pub fn imbalance(table: &Table, service: &str) -> Option<Imbalance> {
+    let mut shares: BTreeMap<Incarnation, f64> = BTreeMap::new();
+    for (slice, span) in spans(table, service) {
+        *shares.entry(slice.current.owner).or_default() += span as f64;
+    }
+    let total: f64 = shares.values().sum();
+    let max = shares.values().copied().fold(0.0, f64::max);
+    let owners = shares.len();
+    (owners > 0).then(|| Imbalance { max_over_mean: max / (total / owners as f64), owners })
+}
+
+/// Share of a service's key space whose owner differs between two tables, from 0 to 1.
+pub fn moved(before: &Table, after: &Table, service: &str) -> f64 {
+    let owners: BTreeMap<SliceId, Incarnation> =
+        spans(before, service).map(|(slice, _)| (slice.id, slice.current.owner)).collect();
+    let (mut moved, mut total) = (0.0, 0.0);
+    for (slice, span) in spans(after, service) {
+        total += span as f64;
+        if owners.get(&slice.id) != Some(&slice.current.owner) {
+            moved += span as f64;
+        }
+    }
+    if total == 0.0 { 0.0 } else { moved / total }
+}
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,15 @@
+//! Why a call failed.
+
+/// Why a call to the platform failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The call had no effect: it was refused, or never left this process.
+    #[error("platform unavailable: {0}")]
+    Unavailable(String),
+    /// The call was sent and not answered; a write may have taken effect.
+    #[error("platform answer lost: {0}")]
+    Lost(String),
+    /// The answer can't be understood.
+    #[error("platform answered with nonsense: {0}")]
+    Malformed(String),
+}
--- /dev/null
+++ b/crates/quota/src/bucket.rs
@@ -0,0 +1,186 @@
+//! The owner's side: one workspace's bucket and what is lent of it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::{Borrower, Loan, Terms};
+
+/// Rate kept back for requests that come to daemons without a loan.
+const KEPT_BACK: f64 = 0.1;
+/// A borrower gets this much more than it asked for, to follow growth.
+const HEADROOM: f64 = 1.25;
+/// Rates below this are not lent; their requests ask one by one.
+const LEAST_LOAN_PER_S: f64 = 2.0;
+/// Time at its rate for which a borrower may save up tokens.
+const DEPTH_S: f64 = 0.25;
+
+/// A workspace's rate and burst.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Requests per second.
+    pub rate: f64,
+    /// Requests above the rate that may come at once.
+    pub burst: f64,
+}
+
+/// What a daemon wants for a workspace.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests a second seen lately.
+    pub rate: f64,
+    /// Loan that it still holds, by its own account.
+    pub held: Loan,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    rate: f64,
+    depth: f64,
+    until: Duration,
+}
+
+/// The bucket of one workspace, at its owner.
+///
+/// ```
+/// use cactushold_quota::{Bucket, Demand, Limits, Terms};
+/// use std::time::Duration;
+/// let limits = Limits { rate: 100.0, burst: 50.0 };
+/// let mut bucket = Bucket::new(limits, Terms::default(), Duration::ZERO);
+/// let now = Duration::from_secs(10);
+/// let loan = bucket.lend(1, Demand { rate: 40.0, ..Demand::default() }, now);
+/// assert_eq!(loan.rate, 50.0);
+/// assert!(bucket.take(now), "single tokens are left for others");
+/// ```
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    limits: Limits,
+    terms: Terms,
+    tokens: f64,
+    updated: Duration,
+    /// Until then loans of an earlier owner may be in use that this one doesn't know.
+    blind_until: Duration,
+    grants: BTreeMap<Borrower, Vec<Grant>>,
+    demands: BTreeMap<Borrower, (f64, Duration)>,
+}
+
+impl Bucket {
+    /// A bucket whose ownership was acquired at `now`. It starts without tokens and lends nothing
+    /// new until loans of an earlier owner have ended.
+    pub fn new(limits: Limits, terms: Terms, now: Duration) -> Bucket {
+        Bucket {
+            limits,
+            terms,
+            tokens: 0.0,
+            updated: now,
+            blind_until: now + terms.term + terms.margin,
+            grants: BTreeMap::new(),
+            demands: BTreeMap::new(),
+        }
+    }
+
+    /// Takes up changed limits. Loans beyond a lowered rate end with their terms.
+    pub fn set_limits(&mut self, limits: Limits, now: Duration) {
+        self.refill(now);
+        self.limits = limits;
+    }
+
+    /// Takes one token for one request of a daemon without a loan.
+    pub fn take(&mut self, now: Duration) -> bool {
+        self.refill(now);
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+
+    /// How long until a token will be there, if no more is lent.
+    pub fn wait(&self, now: Duration) -> Duration {
+        let free = (self.limits.rate - self.lent(now).rate).max(0.1);
+        let missing = (1.0 - self.tokens).max(0.0);
+        Duration::from_secs_f64((missing / free).min(60.0))
+    }
+
+    /// Lends by demand, or renews what a borrower of an earlier owner still holds.
+    pub fn lend(&mut self, borrower: Borrower, demand: Demand, now: Duration) -> Loan {
+        self.refill(now);
+        self.demands.insert(borrower, (demand.rate, now));
+        if now < self.blind_until {
+            return self.renew_held(borrower, demand.held, now);
+        }
+        let others = self.lent_to_others(borrower, now);
+        let rate = self.fair_rate(borrower, demand.rate, now);
+        let rate = rate.min(self.limits.rate - others.rate).max(0.0);
+        let rate = if rate < LEAST_LOAN_PER_S { 0.0 } else { rate };
+        let before = self.lent_to(borrower, now);
+        let wanted = if rate > 0.0 { (rate * DEPTH_S).max(1.0) } else { 0.0 };
+        let more = (wanted - before.depth).clamp(0.0, self.tokens.floor());
+        let depth = if wanted > before.depth { before.depth + more } else { wanted };
+        self.tokens -= more;
+        self.note(borrower, rate, depth, now);
+        Loan { rate, depth, fresh: more }
+    }
+
+    fn renew_held(&mut self, borrower: Borrower, held: Loan, now: Duration) -> Loan {
+        let others = self.lent_to_others(borrower, now);
+        let known = self.grants.contains_key(&borrower);
+        let before = if known { self.lent_to(borrower, now) } else { held };
+        let rate = before.rate.min(self.limits.rate - others.rate).max(0.0);
+        let depth = before.depth.min(self.limits.burst - others.depth).max(0.0);
+        self.note(borrower, rate, depth, now);
+        Loan { rate, depth, fresh: 0.0 }
+    }
+
+    /// The borrower's part if everyone got what it lately asked for, scaled down to the rate.
+    fn fair_rate(&self, borrower: Borrower, wanted: f64, now: Duration) -> f64 {
+        let lendable = self.limits.rate * (1.0 - KEPT_BACK);
+        let recent = |at: Duration| now < at + self.terms.term;
+        let all = self.demands.values().filter(|(_, at)| recent(*at));
+        let total: f64 = all.map(|(rate, _)| rate * HEADROOM).sum();
+        let own = self.demands.get(&borrower).map_or(wanted, |(rate, _)| *rate) * HEADROOM;
+        if total <= lendable { own } else { own * lendable / total }
+    }
+
+    fn note(&mut self, borrower: Borrower, rate: f64, depth: f64, now: Duration) {
+        let until = now + self.terms.term + self.terms.margin;
+        let grants = self.grants.entry(borrower).or_default();
+        grants.retain(|grant| now < grant.until);
+        grants.push(Grant { rate, depth, until });
+    }
+
+    /// What a borrower may be using: the largest of its running grants, since the answer with the
+    /// latest one may have been lost.
+    fn lent_to(&self, borrower: Borrower, now: Duration) -> Loan {
+        let grants = self.grants.get(&borrower).into_iter().flatten();
+        grants.filter(|grant| now < grant.until).fold(Loan::default(), |most, grant| Loan {
+            rate: most.rate.max(grant.rate),
+            depth: most.depth.max(grant.depth),
+            fresh: 0.0,
+        })
+    }
+
+    fn lent(&self, now: Duration) -> Loan {
+        self.sum(self.grants.keys().copied(), now)
+    }
+
+    fn lent_to_others(&self, borrower: Borrower, now: Duration) -> Loan {
+        self.sum(self.grants.keys().copied().filter(|other| *other != borrower), now)
+    }
+
+    fn sum(&self, borrowers: impl Iterator<Item = Borrower>, now: Duration) -> Loan {
+        borrowers.map(|borrower| self.lent_to(borrower, now)).fold(Loan::default(), |sum, loan| {
+            Loan { rate: sum.rate + loan.rate, depth: sum.depth + loan.depth, fresh: 0.0 }
+        })
+    }
+
+    /// Adds what came in at the rate that isn't lent, up to the burst that isn't lent.
+    fn refill(&mut self, now: Duration) {
+        let lent = self.lent(self.updated);
+        let elapsed = now.saturating_sub(self.updated.max(self.blind_until)).as_secs_f64();
+        let free = (self.limits.rate - lent.rate).max(0.0);
+        let room = (self.limits.burst - lent.depth).max(0.0);
+        self.tokens = (self.tokens + free * elapsed).min(room);
+        self.updated = self.updated.max(now);
+        self.grants.retain(|_, grants| grants.iter().any(|grant| now < grant.until));
+    }
+}
--- /dev/null
+++ b/crates/wire/schema.capnp
@@ -0,0 +1,107 @@
+@0xb3c5f1d2a4e69078;
+
+# Datagrams between daemons: one message each, packed.
+struct Datagram {
+  from @0 :UInt64;
+  to @1 :UInt64;
+  tableVersion @2 :UInt64;
+  configVersion @3 :UInt64;
+  # Age in ms of the statement that configVersion is current; absent: not known.
+  freshMs @4 :UInt32 = 0xffffffff;
+  body :union {
+    renew @5 :Renew;
+    renewed @6 :Renewed;
+    lapsed @7 :Lapsed;
+    ask @8 :Number;
+    released @9 :Released;
+    claim @10 :Claim;
+    yielded @11 :Claim;
+    probe @12 :UInt64;
+    probed @13 :UInt64;
+  }
+}
+
+struct Number { owner @0 :UInt64; epoch @1 :UInt32; }
+struct Renew { epoch @0 :UInt32; other @1 :UInt64; sentUs @2 :UInt64; }
+struct Renewed { epoch @0 :UInt32; sentUs @1 :UInt64; }
+struct Lapsed { number @0 :Number; other @1 :UInt64; }
+struct Released { number @0 :Number; table @1 :UInt64; config @2 :UInt64; }
+struct Claim { slice @0 :UInt32; since @1 :UInt64; }
+
+struct Header { name @0 :Data; value @1 :Data; }
+
+struct Request {
+  attempt @0 :UInt64;
+  workspace @1 :Text;
+  service @2 :Text;
+  keyHash @3 :UInt64;
+  keyed @4 :Bool;
+  method @5 :Text;
+  path @6 :Data;
+  headers @7 :List(Header);
+  body @8 :Data;
+  # Time left until the caller's deadline, in ms, when the request was sent.
+  budgetMs @9 :UInt32;
+  tableVersion @10 :UInt64;
+  configVersion @11 :UInt64;
+  idempotencyKey @12 :Data;
+  idempotent @13 :Bool;
+}
+
+struct Answer {
+  attempt @0 :UInt64;
+  # Guard's view, to steer further choices.
+  inFlight @1 :UInt32;
+  latencyUs @2 :UInt32;
+  union {
+    refused @3 :Refusal;
+    reply @4 :Reply;
+  }
+}
+
+struct Refusal {
+  kind @0 :UInt16;
+  detail @1 :Text;
+  tableVersion @2 :UInt64;
+  retryMs @3 :UInt32;
+}
+
+struct Reply {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  body @2 :Data;
+  rest @3 :Body;
+}
+
+interface Body {
+  read @0 () -> (chunk :Data, end :Bool);
+}
+
+enum Document { table @0; config @1; }
+
+struct Share {
+  workspace @0 :Text;
+  # Tokens per second, in thousandths.
+  rateMilli @1 :UInt64;
+  burstMilli @2 :UInt64;
+  termMs @3 :UInt32;
+}
+
+struct Demand {
+  workspace @0 :Text;
+  # Requests per second seen lately, in thousandths.
+  rateMilli @1 :UInt64;
+  # Share still in force, in thousandths, and what is left of its term.
+  heldMilli @2 :UInt64;
+  heldMs @3 :UInt32;
+  tokensMilli @4 :UInt64;
+  daemon @5 :UInt64;
+}
+
+interface Peer {
+  forward @0 (request :Request) -> (answer :Answer);
+  fetch @1 (document :Document) -> (version :UInt64, content :Data);
+  patch @2 (content :Data) -> (outcome :Data);
+  report @3 (content :Data) -> (accepted :Bool);
+  share @4 (demands :List(Demand)) -> (shares :List(Share), accepted :Bool);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,9 @@
-//! placeholder
+//! Messages between daemons: Cap'n Proto datagrams for heartbeats, capnp-rpc for the rest.
+
+pub mod datagram;
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+#[rustfmt::skip]
+pub mod schema_capnp;
+
+pub use crate::datagram::{Body, Datagram, Error};
+pub use crate::schema_capnp as schema;
