--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod idempotency;
 mod kind;
+mod percentile;
 mod retry;
 
 pub use crate::{
@@ -11,5 +12,6 @@
     budget::Budget,
     idempotency::{Entry, Recorded, Records},
     kind::{Advice, Kind, Ran},
+    percentile::Percentile,
     retry::{Backoff, Phase, Verdict, may_retry},
 };
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,16 @@
+//! The instance's clock, which the daemon and the upstream beside it share.
+
+use std::time::Duration;
+
+use cactushold_lease::Time;
+
+/// The present reading. The clock goes on while the process is paused or the machine sleeps.
+pub fn now() -> Time {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// The tokio instant at which the clock will read `time`.
+pub fn instant(time: Time) -> tokio::time::Instant {
+    tokio::time::Instant::now() + time.saturating_sub(now())
+}
--- /dev/null
+++ b/crates/daemon/src/control/documents.rs
@@ -0,0 +1,138 @@
+//! Slice table and configuration: taking up newer ones, fetching them from peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_config::Config;
+use cactushold_lease::{Known, Table};
+use cactushold_wire::schema::Document;
+
+use crate::clock;
+use crate::control::Control;
+use crate::event::Event;
+use crate::{log, metric};
+
+/// Deadline of a fetch.
+const FETCH: Duration = Duration::from_secs(2);
+
+impl Control {
+    /// Notes what another daemon knows and fetches what is newer.
+    pub(super) fn note_known(self: &Rc<Self>, known: Known, source: SocketAddr) {
+        let own = self.known();
+        self.newest.set(self.newest.get().merge(known));
+        if known.table > own.table {
+            self.start_fetch(source, Document::Table);
+        }
+        if known.config > own.config {
+            self.start_fetch(source, Document::Config);
+        }
+    }
+
+    fn start_fetch(self: &Rc<Self>, source: SocketAddr, document: Document) {
+        let control = Rc::clone(self);
+        if !self.fetches.begin(document) {
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            let fetched = tokio::time::timeout(FETCH, control.fetch(source, document)).await;
+            control.fetches.end(document);
+            if let Ok(Some(content)) = fetched {
+                control.take_up(document, &content);
+            }
+        });
+    }
+
+    async fn fetch(&self, source: SocketAddr, document: Document) -> Option<Vec<u8>> {
+        let link = self.links.get(source).await.ok()?;
+        let mut call = link.peer.fetch_request();
+        call.get().set_document(document);
+        let open = link.start();
+        let results = call.send().promise.await.ok()?;
+        open.answered();
+        let content = results.get().ok()?.get_content().ok()?.to_vec();
+        metrics::counter!(metric::FETCHED_BYTES).increment(content.len() as u64);
+        Some(content)
+    }
+
+    /// Takes up a document if it is newer than the one in force.
+    pub(super) fn take_up(self: &Rc<Self>, document: Document, content: &[u8]) {
+        match document {
+            Document::Table => {
+                if let Ok(table) = serde_json::from_slice(content) {
+                    self.learn_table(table);
+                }
+            }
+            Document::Config => {
+                if let Ok(config) = serde_json::from_slice(content) {
+                    self.learn_config(config);
+                }
+            }
+        }
+    }
+
+    /// Puts a newer slice table in force.
+    pub(super) fn learn_table(&self, table: Table) {
+        if table.version <= self.known().table || self.member.borrow().is_none() {
+            return;
+        }
+        log!(debug, Event::TableInForce, version = table.version);
+        let known = Known { table: table.version, config: 0 };
+        self.newest.set(self.newest.get().merge(known));
+        let table = Arc::new(table);
+        self.with_member(|member, _| member.learn(Arc::clone(&table)));
+        let addresses: Vec<SocketAddr> =
+            table.members.values().map(|member| member.peer.address).collect();
+        self.links.retain(|address| addresses.contains(address));
+        self.shared.scores().retain(|id, _| table.members.contains_key(id));
+        let now = clock::now();
+        self.with_member(|member, out| member.tick(now, out));
+        self.publish(now);
+    }
+
+    /// Puts a newer configuration in force.
+    pub(super) fn learn_config(&self, config: Config) {
+        if config.version <= self.config.borrow().version {
+            return;
+        }
+        log!(info, Event::ConfigInForce, version = config.version);
+        let version = config.version;
+        self.newest.set(self.newest.get().merge(Known { table: 0, config: version }));
+        let service = &self.shared.settings.instance.service;
+        if let Some(service) = config.services.get(service) {
+            self.shared.guard().set_slots(service.slots);
+        }
+        *self.config.borrow_mut() = Arc::new(config);
+        let now = clock::now();
+        self.with_member(|member, out| {
+            member.learn_config(version);
+            member.tick(now, out);
+        });
+        self.publish(now);
+    }
+}
+
+/// Documents being fetched; one fetch of each kind at a time.
+#[derive(Default)]
+pub(super) struct Fetches {
+    table: std::cell::Cell<bool>,
+    config: std::cell::Cell<bool>,
+}
+
+impl Fetches {
+    fn flag(&self, document: Document) -> &std::cell::Cell<bool> {
+        match document {
+            Document::Table => &self.table,
+            Document::Config => &self.config,
+        }
+    }
+
+    fn begin(&self, document: Document) -> bool {
+        !self.flag(document).replace(true)
+    }
+
+    fn end(&self, document: Document) {
+        self.flag(document).set(false);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/leader.rs
@@ -0,0 +1,256 @@
+//! What the leader does: revises the slice table as members come, go and report.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactushold_lease::{Incarnation, Peer, Report, Table};
+use cactushold_placement::{View, revise};
+use cactushold_platform::{Error, Expected, Listing, Pacer, Revision, Stored};
+
+use crate::clock;
+use crate::control::Control;
+use crate::control::registration::Registration;
+use crate::event::Event;
+use crate::log;
+
+/// How often the leader looks for something to revise.
+const ROUND: Duration = Duration::from_millis(50);
+/// How long a watch waits at the platform.
+const WATCH: Duration = Duration::from_secs(20);
+/// Least number of slices that may be on the move at a time.
+const LEAST_MOVES: usize = 16;
+/// Part of all slices that may be on the move at a time, as a divisor.
+const MOVES_DIVISOR: usize = 8;
+/// Name of the slice table's object.
+pub(super) const TABLE: &str = "table";
+/// Name of the configuration's object.
+pub(super) const CONFIG: &str = "config";
+/// Prefix of the instances' objects.
+pub(super) const INSTANCES: &str = "instances/";
+
+/// What only the leader knows.
+#[derive(Default)]
+pub(super) struct Leader {
+    is_leading: bool,
+    term: u64,
+    reports: BTreeMap<Incarnation, Report>,
+    registered: BTreeMap<String, (Incarnation, Peer)>,
+    is_listed: bool,
+    /// Version of the table's object, once it was read.
+    pub(super) table: Option<Expected>,
+    /// Version of the configuration's object, once it was read.
+    pub(super) config: Option<Expected>,
+}
+
+impl Leader {
+    /// Takes a member's report.
+    pub(super) fn note(&mut self, report: Report) {
+        self.reports.insert(report.member, report);
+    }
+
+    /// Takes up announcements.
+    pub(super) fn list(&mut self, listing: &Listing) {
+        for object in &listing.objects {
+            let Some((id, registration)) = Registration::read(object) else { continue };
+            self.registered.insert(registration.instance.clone(), (id, registration.peer()));
+        }
+        self.is_listed = true;
+    }
+
+    /// Whether table, configuration and instances were read since this daemon began to lead.
+    pub(super) fn is_synced(&self) -> bool {
+        self.table.is_some() && self.config.is_some() && self.is_listed
+    }
+
+    /// Has everything read anew.
+    pub(super) fn desync(&mut self) {
+        self.table = None;
+        self.config = None;
+    }
+
+    /// Incarnations of the table that are proven gone by a newer one of the same instance.
+    pub(super) fn replaced(&self, table: &Table) -> BTreeSet<Incarnation> {
+        let members = table.members.iter();
+        let replaced = members.filter(|(id, member)| {
+            let latest = self.registered.get(&member.peer.instance);
+            latest.is_some_and(|(latest, _)| latest > id)
+        });
+        replaced.map(|(id, _)| *id).collect()
+    }
+
+    /// The latest incarnation of each instance.
+    pub(super) fn registered(&self) -> BTreeMap<Incarnation, Peer> {
+        self.registered.values().map(|(id, peer)| (*id, peer.clone())).collect()
+    }
+
+    fn epochs(&self) -> BTreeMap<Incarnation, u32> {
+        self.reports.iter().map(|(id, report)| (*id, report.epoch)).collect()
+    }
+
+    /// Settles slices whose new holders reported.
+    fn settle(&self, table: &mut Table) -> bool {
+        let unsettled = table.slices().filter(|slice| slice.previous.is_some());
+        let confirmed: Vec<_> = unsettled
+            .map(|slice| (slice.id, slice.current))
+            .filter(|(id, current)| {
+                let report = self.reports.get(&current.owner);
+                report.is_some_and(|report| report.holds.contains(&(*id, current.since)))
+            })
+            .collect();
+        let mut changed = false;
+        for (id, current) in confirmed {
+            changed |= table.settle(id, current.since);
+        }
+        changed
+    }
+}
+
+impl Control {
+    /// Leads whenever this daemon holds the control slice; looks for a lost leader otherwise.
+    pub(super) async fn keep_leading(self: Rc<Self>) {
+        let mut pacer = Pacer::new(fastrand::Rng::new());
+        loop {
+            tokio::time::sleep(ROUND).await;
+            let leads = self.leads(clock::now());
+            self.turn_leader(leads);
+            let outcome = if leads { self.lead().await } else { self.recover().await };
+            match outcome {
+                Ok(()) => pacer.succeeded(),
+                Err(error) => {
+                    log!(warn, Event::PlatformUnavailable, reason = %error);
+                    tokio::time::sleep(pacer.failed()).await;
+                }
+            }
+        }
+    }
+
+    fn turn_leader(self: &Rc<Self>, leads: bool) {
+        let mut leader = self.leader.borrow_mut();
+        if leader.is_leading == leads {
+            return;
+        }
+        let term = leader.term + 1;
+        *leader = Leader { is_leading: leads, term, ..Leader::default() };
+        if leads {
+            log!(info, Event::Leading, incarnation = self.id());
+            tokio::task::spawn_local(Rc::clone(self).watch_instances(term));
+        } else {
+            log!(info, Event::NotLeading, incarnation = self.id());
+        }
+    }
+
+    async fn lead(self: &Rc<Self>) -> Result<(), Error> {
+        if !self.leader.borrow().is_synced() {
+            return self.sync().await;
+        }
+        self.revise().await
+    }
+
+    /// Reads table and configuration; the leader's own may be older.
+    pub(super) async fn sync(self: &Rc<Self>) -> Result<(), Error> {
+        let at = |revision: Option<Revision>| revision.map_or(Expected::Absent, Expected::At);
+        let table = self.platform.get(TABLE).await?;
+        let config = self.platform.get(CONFIG).await?;
+        let revisions = [&table, &config].map(|object| object.as_ref().map(|found| found.revision));
+        if let Some(table) = table.and_then(|object| serde_json::from_str(&object.value).ok()) {
+            self.learn_table(table);
+        }
+        if let Some(config) = config.and_then(|object| serde_json::from_str(&object.value).ok()) {
+            self.learn_config(config);
+        }
+        let mut leader = self.leader.borrow_mut();
+        leader.table = Some(at(revisions[0]));
+        leader.config = Some(at(revisions[1]));
+        Ok(())
+    }
+
+    async fn watch_instances(self: Rc<Self>, term: u64) {
+        let mut pacer = Pacer::new(fastrand::Rng::new());
+        let mut after = None;
+        while self.leader.borrow().term == term {
+            let listing = match after {
+                None => self.platform.list(INSTANCES).await,
+                Some(after) => self.platform.watch(INSTANCES, after, WATCH).await,
+            };
+            match listing {
+                Ok(listing) => {
+                    pacer.succeeded();
+                    after = Some(listing.revision);
+                    let mut leader = self.leader.borrow_mut();
+                    if leader.term == term {
+                        leader.list(&listing);
+                    }
+                }
+                Err(_) => tokio::time::sleep(pacer.failed()).await,
+            }
+        }
+    }
+
+    fn placement_view(&self, table: &Table) -> View {
+        let leader = self.leader.borrow();
+        let config = self.config.borrow();
+        let member = self.member.borrow();
+        let stopped = |id: &Incarnation| member.as_ref().is_some_and(|m| m.is_stopped(*id));
+        let mut gone = leader.replaced(table);
+        gone.extend(config.retired.iter().copied());
+        gone.extend(table.members.keys().copied().filter(stopped));
+        let zones = config.zones.iter().filter(|(_, zone)| zone.out);
+        View {
+            registered: leader.registered(),
+            gone,
+            zones_out: zones.map(|(name, _)| name.clone()).collect(),
+            epochs: leader.epochs(),
+            hot: Vec::new(),
+            moves: LEAST_MOVES.max(table.slices().count() / MOVES_DIVISOR),
+        }
+    }
+
+    async fn revise(self: &Rc<Self>) -> Result<(), Error> {
+        let table = {
+            let member = self.member.borrow();
+            let Some(member) = member.as_ref() else { return Ok(()) };
+            std::sync::Arc::clone(member.table())
+        };
+        let mut base = (*table).clone();
+        let is_settled = self.leader.borrow().settle(&mut base);
+        let next = match revise(&base, &self.placement_view(&base)) {
+            Some(next) => next,
+            None if is_settled => {
+                base.begin();
+                base
+            }
+            None => return Ok(()),
+        };
+        let Some(expected) = self.leader.borrow().table else { return Ok(()) };
+        self.store_table(next, expected).await
+    }
+
+    /// Stores a table. Whatever isn't surely stored is read back before the next step.
+    pub(super) async fn store_table(
+        self: &Rc<Self>,
+        next: Table,
+        expected: Expected,
+    ) -> Result<(), Error> {
+        let value = serde_json::to_string(&next).unwrap_or_default();
+        match self.platform.put(TABLE, value, expected).await {
+            Ok(Stored::Done(revision)) => {
+                log!(info, Event::TableStored, version = next.version);
+                self.leader.borrow_mut().table = Some(Expected::At(revision));
+                self.learn_table(next);
+                Ok(())
+            }
+            Ok(Stored::Conflict) => {
+                self.leader.borrow_mut().desync();
+                Ok(())
+            }
+            Err(error) => {
+                if matches!(error, Error::Lost(_)) {
+                    log!(warn, Event::AnswerLost, object = TABLE);
+                }
+                self.leader.borrow_mut().desync();
+                Err(error)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,244 @@
+//! The control thread: membership, leases, documents, leadership. Requests never run here.
+
+mod documents;
+mod heartbeat;
+mod leader;
+mod patches;
+mod recovery;
+mod registration;
+mod reports;
+mod slices;
+mod stop;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_config::Config;
+use cactushold_lease::{Fence, Incarnation, Known, Member, SliceId, Time};
+use cactushold_platform::Client;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::event::Event;
+use crate::peer::Links;
+use crate::shared::{Command, Shared, View};
+use crate::upstream::Upstream;
+use crate::{clock, log, metric, peer_quota};
+
+/// How often due work is looked for.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A grant that the upstream accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Granted {
+    fence: Fence,
+    acquired: Time,
+}
+
+/// Freshness of the configuration: this version was current at that time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Fresh {
+    version: u64,
+    at: Time,
+}
+
+/// State of the control thread. No task holds a borrow across an await.
+pub struct Control {
+    shared: Arc<Shared>,
+    links: Rc<Links>,
+    upstream: Rc<Upstream>,
+    socket: UdpSocket,
+    platform: Client,
+    member: RefCell<Option<Member>>,
+    config: RefCell<Arc<Config>>,
+    fresh: Cell<Option<Fresh>>,
+    newest: Cell<Known>,
+    granted: RefCell<HashMap<SliceId, Granted>>,
+    grants_under_way: RefCell<Vec<SliceId>>,
+    drains: RefCell<HashMap<SliceId, Time>>,
+    fetches: documents::Fetches,
+    leader: RefCell<leader::Leader>,
+    published: Cell<Option<Signature>>,
+    patching: tokio::sync::Mutex<()>,
+    was_valid: Cell<bool>,
+    was_fresh: Cell<bool>,
+}
+
+/// What a view was built from; a view is swapped only when this changes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Signature {
+    id: Incarnation,
+    known: Known,
+    valid_until: Time,
+    fresh_at: Option<Time>,
+    leads: bool,
+    grants: usize,
+    newest_grant: Time,
+}
+
+impl Control {
+    fn new(shared: Arc<Shared>, socket: UdpSocket) -> Control {
+        let upstream = Rc::new(Upstream::new(shared.settings.upstream.address));
+        let platform = Client::new(shared.settings.platform.address);
+        Control {
+            shared,
+            links: Rc::default(),
+            upstream,
+            socket,
+            platform,
+            member: RefCell::default(),
+            config: RefCell::default(),
+            fresh: Cell::new(None),
+            newest: Cell::default(),
+            granted: RefCell::default(),
+            grants_under_way: RefCell::default(),
+            drains: RefCell::default(),
+            fetches: documents::Fetches::default(),
+            leader: RefCell::default(),
+            published: Cell::new(None),
+            patching: tokio::sync::Mutex::default(),
+            was_valid: Cell::new(false),
+            was_fresh: Cell::new(false),
+        }
+    }
+
+    fn id(&self) -> Incarnation {
+        self.member.borrow().as_ref().map_or(0, Member::id)
+    }
+
+    fn known(&self) -> Known {
+        self.member.borrow().as_ref().map(Member::known).unwrap_or_default()
+    }
+
+    fn leads(&self, now: Time) -> bool {
+        self.member.borrow().as_ref().is_some_and(|member| member.is_leader(now))
+    }
+
+    /// Changes the member and sends what follows from it.
+    fn with_member(&self, change: impl FnOnce(&mut Member, &mut Vec<cactushold_lease::Envelope>)) {
+        let mut out = Vec::new();
+        if let Some(member) = self.member.borrow_mut().as_mut() {
+            change(member, &mut out);
+        }
+        self.post(out);
+    }
+
+    /// Everything that is due at `now`.
+    fn tick(self: &Rc<Self>, now: Time) {
+        self.with_member(|member, out| member.tick(now, out));
+        self.keep_slices(now);
+        if self.leads(now) && self.known().config >= self.newest.get().config {
+            self.fresh.set(Some(Fresh { version: self.known().config, at: now }));
+        }
+        self.publish(now);
+        self.shared.guard().call_next(&self.config.borrow(), now);
+    }
+
+    /// Swaps the view if anything in it changed.
+    fn publish(&self, now: Time) {
+        let member = self.member.borrow();
+        let table = member.as_ref().map(|member| Arc::clone(member.table())).unwrap_or_default();
+        let config = Arc::clone(&self.config.borrow());
+        let fresh = self.fresh.get().filter(|fresh| config.version >= fresh.version);
+        let leads = member.as_ref().is_some_and(|member| member.is_leader(now));
+        let granted = self.granted.borrow();
+        let signature = Signature {
+            id: member.as_ref().map_or(0, Member::id),
+            known: Known { table: table.version, config: config.version },
+            valid_until: member.as_ref().map_or(Time::ZERO, Member::valid_until),
+            fresh_at: fresh.map(|fresh| fresh.at),
+            leads,
+            grants: granted.len(),
+            newest_grant: granted.values().map(|grant| grant.acquired).max().unwrap_or_default(),
+        };
+        if self.published.get() == Some(signature) {
+            return;
+        }
+        self.published.set(Some(signature));
+        let view = View {
+            id: signature.id,
+            config,
+            table,
+            fences: granted.iter().map(|(slice, grant)| (*slice, grant.fence)).collect(),
+            acquired: granted.iter().map(|(slice, grant)| (*slice, grant.acquired)).collect(),
+            valid_until: signature.valid_until,
+            fresh_at: signature.fresh_at,
+            leads,
+        };
+        self.tell_transitions(&view, now);
+        metrics::gauge!(metric::SLICES_SERVED).set(view.fences.len() as f64);
+        metrics::gauge!(metric::CONFIG_VERSION).set(view.config.version as f64);
+        metrics::gauge!(metric::TABLE_VERSION).set(view.table.version as f64);
+        metrics::counter!(metric::PLATFORM_CALLS).absolute(self.platform.calls());
+        self.shared.publish(view);
+    }
+
+    fn tell_transitions(&self, view: &View, now: Time) {
+        let is_valid = now < view.valid_until;
+        if is_valid != self.was_valid.replace(is_valid) {
+            match is_valid {
+                true => log!(info, Event::LeaseValid, incarnation = view.id),
+                false => log!(warn, Event::LeaseLapsed, incarnation = view.id),
+            }
+        }
+        let is_fresh = view.is_fresh(now);
+        if is_fresh != self.was_fresh.replace(is_fresh) {
+            match is_fresh {
+                true => log!(info, Event::Fresh, version = view.config.version),
+                false => log!(warn, Event::NotFresh, version = view.config.version),
+            }
+        }
+    }
+}
+
+/// Runs control work until the daemon has stopped.
+pub async fn run(
+    shared: Arc<Shared>,
+    socket: UdpSocket,
+    commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let control = Rc::new(Control::new(Arc::clone(&shared), socket));
+    tokio::task::spawn_local(Rc::clone(&control).receive());
+    tokio::task::spawn_local(Rc::clone(&control).keep_registered());
+    tokio::task::spawn_local(Rc::clone(&control).keep_fresh());
+    tokio::task::spawn_local(Rc::clone(&control).keep_reporting());
+    tokio::task::spawn_local(Rc::clone(&control).keep_leading());
+    tokio::task::spawn_local(Rc::clone(&control).obey(commands));
+    tokio::task::spawn_local(peer_quota::renew_shares(shared, Rc::clone(&control.links)));
+    tokio::task::spawn_local(Rc::clone(&control).keep_ticking());
+    control.until_stopped().await;
+}
+
+impl Control {
+    async fn keep_ticking(self: Rc<Self>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.tick(clock::now());
+            let cpu = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+            let micros = cpu.tv_sec as u64 * 1_000_000 + cpu.tv_nsec as u64 / 1_000;
+            metrics::counter!(metric::CONTROL_CPU).absolute(micros);
+        }
+    }
+
+    async fn obey(self: Rc<Self>, mut commands: mpsc::UnboundedReceiver<Command>) {
+        while let Some(command) = commands.recv().await {
+            match command {
+                Command::Patch(content, answer) => {
+                    let control = Rc::clone(&self);
+                    tokio::task::spawn_local(async move {
+                        answer.send(control.order(content).await).ok();
+                    });
+                }
+                Command::Report(report) => self.leader.borrow_mut().note(report),
+                Command::Regrant(slice) => {
+                    self.granted.borrow_mut().remove(&slice);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/patches.rs
@@ -0,0 +1,162 @@
+//! Patches: ordered by the leader, stored in the platform, known to a sponsor, then acknowledged.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactushold_config::{Config, Outcome, Patch, Refusal};
+use cactushold_lease::{Incarnation, Owner};
+use cactushold_platform::{Error, Expected, Stored};
+
+use crate::clock;
+use crate::control::Control;
+use crate::control::leader::CONFIG;
+use crate::event::Event;
+use crate::log;
+
+/// How long the leader tries to learn what became of a write.
+const READ_BACK: Duration = Duration::from_secs(10);
+/// How long a stored patch may take to be known to a sponsor.
+const ACKNOWLEDGE: Duration = Duration::from_secs(3);
+/// How often that is looked for.
+const POLL: Duration = Duration::from_millis(10);
+/// Deadline of a patch that is passed on to the leader.
+const PASS_ON: Duration = Duration::from_secs(15);
+
+impl Control {
+    /// Orders a patch as leader, or passes it on to the leader. Both sides are JSON.
+    pub(super) async fn order(self: &Rc<Self>, content: Vec<u8>) -> Vec<u8> {
+        let outcome = match serde_json::from_slice::<Patch>(&content) {
+            Err(error) => refused(Refusal::Invalid { reason: format!("malformed patch: {error}") }),
+            Ok(patch) if self.leads(clock::now()) => self.decide(&patch).await,
+            Ok(_) => self.pass_on(&content).await,
+        };
+        serde_json::to_vec(&outcome).unwrap_or_default()
+    }
+
+    async fn pass_on(&self, content: &[u8]) -> Outcome {
+        for leader in self.possible_leaders() {
+            if leader == self.id() {
+                continue;
+            }
+            let sending = tokio::time::timeout(PASS_ON, self.send_patch(leader, content)).await;
+            match sending {
+                Ok(Sending::Answered(outcome)) if !is_elsewhere(&outcome) => return outcome,
+                Ok(Sending::Answered(_) | Sending::NotSent) => {}
+                Ok(Sending::Lost) | Err(_) => {
+                    return Outcome::Unknown { reason: "the leader didn't answer".to_owned() };
+                }
+            }
+        }
+        refused(Refusal::NoLeader { reason: "none of the possible leaders leads".to_owned() })
+    }
+
+    async fn send_patch(&self, leader: Incarnation, content: &[u8]) -> Sending {
+        let address =
+            self.shared.view().table.members.get(&leader).map(|member| member.peer.address);
+        let Some(address) = address else { return Sending::NotSent };
+        let Ok(link) = self.links.get(address).await else { return Sending::NotSent };
+        let mut call = link.peer.patch_request();
+        call.get().set_content(content);
+        let open = link.start();
+        let Ok(results) = call.send().promise.await else { return Sending::Lost };
+        open.answered();
+        let outcome = results.get().and_then(|results| results.get_outcome());
+        let outcome = outcome.ok().and_then(|bytes| serde_json::from_slice(bytes).ok());
+        outcome.map_or(Sending::Lost, Sending::Answered)
+    }
+
+    /// Decides one patch at a time.
+    async fn decide(self: &Rc<Self>, patch: &Patch) -> Outcome {
+        let _turn = self.patching.lock().await;
+        let deadline = clock::now() + READ_BACK;
+        let mut may_be_stored = false;
+        while clock::now() < deadline {
+            if !self.leads(clock::now()) {
+                break;
+            }
+            let expected = self.leader.borrow().config;
+            let Some(expected) = expected else {
+                if let Err(error) = self.sync().await
+                    && !may_be_stored
+                {
+                    return unavailable(&error);
+                }
+                tokio::time::sleep(POLL).await;
+                continue;
+            };
+            let current = self.config.borrow().clone();
+            let next = match current.patched(patch) {
+                Ok(next) => next,
+                Err(refusal) => return refused(refusal),
+            };
+            if let Some(version) = current.version_of(&patch.id) {
+                return self.acknowledge(version).await;
+            }
+            match self.store_config(next, expected).await {
+                Ok(true) => {}
+                Ok(false) => self.leader.borrow_mut().desync(),
+                Err(error @ Error::Unavailable(_)) if !may_be_stored => {
+                    return unavailable(&error);
+                }
+                Err(_) => {
+                    log!(warn, Event::AnswerLost, object = CONFIG);
+                    may_be_stored = true;
+                    self.leader.borrow_mut().desync();
+                }
+            }
+        }
+        Outcome::Unknown { reason: "the platform didn't tell whether it stored it".to_owned() }
+    }
+
+    async fn store_config(&self, next: Config, expected: Expected) -> Result<bool, Error> {
+        let value = serde_json::to_string(&next).unwrap_or_default();
+        match self.platform.put(CONFIG, value, expected).await? {
+            Stored::Conflict => Ok(false),
+            Stored::Done(revision) => {
+                log!(info, Event::PatchStored, version = next.version);
+                self.leader.borrow_mut().config = Some(Expected::At(revision));
+                self.learn_config(next);
+                Ok(true)
+            }
+        }
+    }
+
+    /// Waits until a sponsor knows the version, so that a successor can't revert it.
+    async fn acknowledge(&self, version: u64) -> Outcome {
+        let deadline = clock::now() + ACKNOWLEDGE;
+        while clock::now() < deadline {
+            let known = {
+                let member = self.member.borrow();
+                let owner = member.as_ref().and_then(|member| member.owner());
+                owner.map(Owner::acknowledged).unwrap_or_default()
+            };
+            if known.config >= version && self.leads(clock::now()) {
+                return Outcome::Accepted { version };
+            }
+            self.with_member(|member, out| {
+                member.hasten();
+                member.tick(clock::now(), out);
+            });
+            tokio::time::sleep(POLL).await;
+        }
+        Outcome::Unknown { reason: "stored, but no sponsor of the leader knows it yet".to_owned() }
+    }
+}
+
+enum Sending {
+    Answered(Outcome),
+    NotSent,
+    Lost,
+}
+
+fn is_elsewhere(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Refused { reason: Refusal::NoLeader { .. } })
+}
+
+fn refused(reason: Refusal) -> Outcome {
+    Outcome::Refused { reason }
+}
+
+fn unavailable(error: &Error) -> Outcome {
+    refused(Refusal::NoLeader { reason: error.to_string() })
+}
--- /dev/null
+++ b/crates/daemon/src/control/registration.rs
@@ -0,0 +1,162 @@
+//! Announces the instance; each start is a new incarnation.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactushold_lease::{Incarnation, Member, Peer, Timing};
+use cactushold_platform::{Error, Expected, Object, Pacer, Stored};
+
+use crate::clock;
+use crate::control::Control;
+use crate::event::Event;
+use crate::log;
+
+/// How often the daemon looks whether the table still names it.
+const CHECK: Duration = Duration::from_millis(200);
+
+/// What an instance announces.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub(super) struct Registration {
+    /// Tells the writes of one process from another's.
+    pub nonce: u64,
+    /// Incarnation, once the first write told it; absent in that write.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
+    /// Name of the instance.
+    pub instance: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Service.
+    pub service: String,
+    /// Address for other daemons.
+    pub address: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Whether the instance is leaving.
+    pub leaving: bool,
+}
+
+impl Registration {
+    /// Reads an object; nothing if it isn't a registration.
+    pub(super) fn read(object: &Object) -> Option<(Incarnation, Registration)> {
+        let registration: Registration = serde_json::from_str(&object.value).ok()?;
+        Some((registration.incarnation.unwrap_or(object.revision), registration))
+    }
+
+    /// The registered peer.
+    pub(super) fn peer(&self) -> Peer {
+        Peer {
+            instance: self.instance.clone(),
+            zone: self.zone.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            admin: self.admin,
+            leaving: self.leaving,
+        }
+    }
+}
+
+impl Control {
+    /// Registers, and again under a new incarnation whenever the table dropped this one.
+    pub(super) async fn keep_registered(self: Rc<Self>) {
+        loop {
+            let id = self.register().await;
+            log!(info, Event::Registered, incarnation = id);
+            *self.member.borrow_mut() = Some(Member::new(id, Timing::default()));
+            self.granted.borrow_mut().clear();
+            self.readopt_documents();
+            self.until_removed().await;
+            log!(warn, Event::Removed, incarnation = id);
+        }
+    }
+
+    /// A new member starts with the documents that are in force here.
+    fn readopt_documents(&self) {
+        let view = self.shared.view();
+        let version = self.config.borrow().version;
+        self.with_member(|member, _| {
+            member.learn_config(version);
+            member.learn(std::sync::Arc::clone(&view.table));
+        });
+        self.publish(clock::now());
+    }
+
+    /// Waits until the table named this process and then dropped it.
+    async fn until_removed(&self) {
+        let mut was_member = false;
+        loop {
+            tokio::time::sleep(CHECK).await;
+            let is_member = self.is_member();
+            if was_member && !is_member {
+                return;
+            }
+            was_member |= is_member;
+        }
+    }
+
+    async fn register(&self) -> Incarnation {
+        let mut pacer = Pacer::new(fastrand::Rng::new());
+        let nonce = fastrand::u64(1..);
+        loop {
+            match self.try_register(nonce).await {
+                Ok(Some(id)) => return id,
+                Ok(None) => {}
+                Err(error) => {
+                    log!(warn, Event::PlatformUnavailable, reason = %error);
+                    log!(info, Event::Waiting, what = "the platform, to register");
+                }
+            }
+            tokio::time::sleep(pacer.failed()).await;
+        }
+    }
+
+    /// One try. An answer may have been lost, so the object is read before anything is written.
+    async fn try_register(&self, nonce: u64) -> Result<Option<Incarnation>, Error> {
+        let name = self.registration_name();
+        let found = self.platform.get(&name).await?;
+        if let Some((id, registration)) = found.as_ref().and_then(Registration::read)
+            && registration.nonce == nonce
+        {
+            return Ok(Some(id));
+        }
+        let expected = found.map_or(Expected::Absent, |object| Expected::At(object.revision));
+        let value = self.registration(nonce, None);
+        match self.platform.put(&name, value, expected).await? {
+            Stored::Done(revision) => Ok(Some(revision)),
+            Stored::Conflict => Ok(None),
+        }
+    }
+
+    fn registration_name(&self) -> String {
+        format!("instances/{}", self.shared.settings.instance.name)
+    }
+
+    fn registration(&self, nonce: u64, incarnation: Option<Incarnation>) -> String {
+        let instance = &self.shared.settings.instance;
+        let registration = Registration {
+            nonce,
+            incarnation,
+            instance: instance.name.clone(),
+            zone: instance.zone.clone(),
+            service: instance.service.clone(),
+            address: self.shared.addresses.peers,
+            admin: self.shared.addresses.admin,
+            leaving: self.shared.is_leaving(),
+        };
+        serde_json::to_string(&registration).unwrap_or_default()
+    }
+
+    /// Tells the leader through the platform that this instance is leaving.
+    pub(super) async fn announce_leaving(&self) -> Result<(), Error> {
+        let name = self.registration_name();
+        let Some(object) = self.platform.get(&name).await? else { return Ok(()) };
+        let Some((id, found)) = Registration::read(&object) else { return Ok(()) };
+        if id != self.id() || found.leaving {
+            return Ok(());
+        }
+        let value = self.registration(found.nonce, Some(id));
+        self.platform.put(&name, value, Expected::At(object.revision)).await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/stop.rs
@@ -0,0 +1,60 @@
+//! Graceful shutdown: hand over what is owned, then let running requests end.
+
+use std::time::Duration;
+
+use cactushold_lease::Time;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::clock;
+use crate::control::Control;
+use crate::event::Event;
+use crate::log;
+
+/// How often progress is looked for.
+const POLL: Duration = Duration::from_millis(20);
+/// Pause after an announcement that failed.
+const RETRY: Duration = Duration::from_millis(200);
+
+impl Control {
+    /// Returns when a signal to stop was obeyed.
+    pub(super) async fn until_stopped(&self) {
+        wait_for_signal().await;
+        log!(info, Event::Stopping, incarnation = self.id());
+        self.shared.leave();
+        let limit = clock::now() + Duration::from_millis(self.shared.settings.limits.drain_ms);
+        self.hand_over(limit).await;
+        self.shared.stop.send_replace(true);
+        while clock::now() < limit && self.is_busy() {
+            tokio::time::sleep(POLL).await;
+        }
+        log!(info, Event::Stopped, incarnation = self.id());
+    }
+
+    async fn hand_over(&self, limit: Time) {
+        let mut is_announced = false;
+        while clock::now() < limit && !self.granted.borrow().is_empty() {
+            if !is_announced {
+                match self.announce_leaving().await {
+                    Ok(()) => is_announced = true,
+                    Err(_) => tokio::time::sleep(RETRY).await,
+                }
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.shared.open_requests() > 0 || self.shared.guard().busy() > 0
+    }
+}
+
+async fn wait_for_signal() {
+    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,142 @@
+//! Starts the threads of a daemon and waits until it has stopped.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::thread;
+
+use cactushold_config::Settings;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use socket2::Socket;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+
+use crate::error::Error;
+use crate::event::Event;
+use crate::shared::{Addresses, Command, Shared};
+use crate::{admin, control, log, worker};
+
+/// Ports tried when the system may choose one that is free for both TCP and UDP.
+const PORT_TRIES: usize = 50;
+
+/// Sockets that are bound before any thread starts. The TCP ones keep their ports for workers.
+struct Sockets {
+    addresses: Addresses,
+    datagrams: UdpSocket,
+    admin: TcpListener,
+    /// Hold the ports that workers listen on.
+    _reserved: [Socket; 2],
+}
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+/// An address can't be bound or a thread can't be started.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let metrics = install_metrics();
+    let sockets = bind(&settings)?;
+    let (commands, orders) = mpsc::unbounded_channel();
+    let shared = Arc::new(Shared::new(settings, sockets.addresses, commands));
+    tell_addresses(&shared);
+    start_admin(sockets.admin, &shared, metrics)?;
+    let workers = start_workers(&shared)?;
+    run_control(Arc::clone(&shared), sockets.datagrams, orders)?;
+    for worker in workers {
+        worker.join().ok();
+    }
+    Ok(())
+}
+
+fn install_metrics() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // A second daemon in the same process shares the first one's recorder.
+    metrics::set_global_recorder(recorder).ok();
+    handle
+}
+
+fn bind(settings: &Settings) -> Result<Sockets, Error> {
+    check_free(settings.listen.callers)?;
+    let callers = worker::reserve(settings.listen.callers)?;
+    let (datagrams, peers) = bind_peers(settings.listen.peers)?;
+    let address = settings.listen.admin;
+    let fail = |source| Error::Listen { address, source };
+    let admin = TcpListener::bind(address).map_err(fail)?;
+    admin.set_nonblocking(true)?;
+    let addresses = Addresses {
+        callers: local_address(&callers)?,
+        peers: local_address(&peers)?,
+        admin: admin.local_addr()?,
+    };
+    Ok(Sockets { addresses, datagrams, admin, _reserved: [callers, peers] })
+}
+
+fn local_address(socket: &Socket) -> Result<SocketAddr, Error> {
+    let address = socket.local_addr()?.as_socket();
+    Ok(address.ok_or_else(|| std::io::Error::other("not an IP address"))?)
+}
+
+/// Workers share a port among themselves; another process must not be there.
+fn check_free(address: SocketAddr) -> Result<(), Error> {
+    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })?;
+    Ok(())
+}
+
+/// Binds one port for datagrams and calls. The datagram socket is bound exclusively: as long as
+/// an old process of the instance lives, a new one can't start.
+fn bind_peers(address: SocketAddr) -> Result<(UdpSocket, Socket), Error> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let fail = |source| Error::Listen { address, source };
+        let datagrams = UdpSocket::bind(address).map_err(fail)?;
+        datagrams.set_nonblocking(true)?;
+        let chosen = datagrams.local_addr()?;
+        match check_free(chosen).and_then(|()| worker::reserve(chosen)) {
+            Ok(peers) => return Ok((datagrams, peers)),
+            Err(_) if address.port() == 0 && tries < PORT_TRIES => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+fn tell_addresses(shared: &Shared) {
+    let Addresses { callers, peers, admin } = shared.addresses;
+    log!(info, Event::Listening, callers = %callers, peers = %peers, admin = %admin);
+}
+
+fn start_admin(
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    metrics: PrometheusHandle,
+) -> Result<(), Error> {
+    let shared = Arc::clone(shared);
+    thread::Builder::new()
+        .name("admin".to_owned())
+        .spawn(move || admin::run(listener, shared, metrics))?;
+    Ok(())
+}
+
+type Worker = thread::JoinHandle<Result<(), Error>>;
+
+fn start_workers(shared: &Arc<Shared>) -> Result<Vec<Worker>, Error> {
+    (0..shared.settings.limits.workers)
+        .map(|at| {
+            let shared = Arc::clone(shared);
+            let builder = thread::Builder::new().name(format!("worker-{at}"));
+            Ok(builder.spawn(move || worker::run(shared))?)
+        })
+        .collect()
+}
+
+fn run_control(
+    shared: Arc<Shared>,
+    datagrams: UdpSocket,
+    orders: mpsc::UnboundedReceiver<Command>,
+) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async move {
+        let datagrams = tokio::net::UdpSocket::from_std(datagrams)?;
+        control::run(shared, datagrams, orders).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/error.rs
@@ -0,0 +1,37 @@
+//! Why a daemon can't start or go on.
+
+use std::net::SocketAddr;
+
+use cactushold_config::settings;
+
+use crate::exit::Exit;
+
+/// An error that ends the process.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings were refused.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// An address couldn't be bound.
+    #[error("can't listen on {address}: {source}; hint: is another daemon running here?")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The reason.
+        source: std::io::Error,
+    },
+    /// A thread or runtime couldn't be started.
+    #[error("can't start: {0}")]
+    Start(#[from] std::io::Error),
+}
+
+impl Error {
+    /// The exit code for this error.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Error::Settings(_) => Exit::BadSettings,
+            Error::Listen { .. } => Exit::CannotListen,
+            Error::Start(_) => Exit::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/event.rs
@@ -0,0 +1,88 @@
+//! Numbered log events; `docs/EVENTS.md` is their catalogue.
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $event:ident = $number:literal, $name:literal;)*) => {
+        /// Something worth a line in the log.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[doc = $doc])* $event,)*
+        }
+
+        impl Event {
+            /// All events, in the order of their numbers.
+            pub const ALL: &[Event] = &[$(Event::$event),*];
+
+            /// Number, which never changes its meaning.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$event => $number),* }
+            }
+
+            /// Name.
+            pub fn name(self) -> &'static str {
+                match self { $(Event::$event => $name),* }
+            }
+
+            /// What it means.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Event::$event => concat!($($doc),*).trim_ascii()),* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The daemon listens on its addresses.
+    Listening = 100, "listening";
+    /// The instance is registered under a new incarnation.
+    Registered = 101, "registered";
+    /// The platform can't be reached; the call is repeated.
+    PlatformUnavailable = 102, "platform-unavailable";
+    /// The platform's answer was lost; the object is read back.
+    AnswerLost = 103, "answer-lost";
+    /// The daemon waits for something before it can serve.
+    Waiting = 104, "waiting";
+    /// The table doesn't name this incarnation any more; a new one is registered.
+    Removed = 105, "removed";
+    /// A newer configuration is in force here.
+    ConfigInForce = 200, "config-in-force";
+    /// A newer slice table is in force here.
+    TableInForce = 201, "table-in-force";
+    /// This daemon started to lead.
+    Leading = 210, "leading";
+    /// This daemon stopped leading.
+    NotLeading = 211, "not-leading";
+    /// The leader stored a new slice table.
+    TableStored = 212, "table-stored";
+    /// The leader stored a patch.
+    PatchStored = 213, "patch-stored";
+    /// A slice was taken over from a lost owner.
+    TakenOver = 300, "taken-over";
+    /// A slice is being given up to its new owner.
+    Draining = 301, "draining";
+    /// A slice was given up.
+    GivenUp = 302, "given-up";
+    /// The lease ran out; nothing owned is served.
+    LeaseLapsed = 303, "lease-lapsed";
+    /// The lease is valid again.
+    LeaseValid = 304, "lease-valid";
+    /// The upstream refused a grant.
+    GrantRefused = 305, "grant-refused";
+    /// The configuration may be outdated; open routes are refused.
+    NotFresh = 400, "not-fresh";
+    /// The configuration is known to be current again.
+    Fresh = 401, "fresh";
+    /// A silent connection was replaced.
+    SilentConnection = 500, "silent-connection";
+    /// A graceful shutdown began.
+    Stopping = 600, "stopping";
+    /// The graceful shutdown is complete.
+    Stopped = 601, "stopped";
+}
+
+/// Logs an event at a level: `log!(info, Event::Fresh, field = value)`.
+#[macro_export]
+macro_rules! log {
+    ($level:ident, $event:expr $(, $($fields:tt)*)?) => {
+        tracing::$level!(event = $event.number(), name = $event.name() $(, $($fields)*)?)
+    };
+}
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,84 @@
+//! A request and its answer on their way between ingress, guard and upstream.
+
+use bytes::Bytes;
+use cactushold_attempt::Kind;
+use cactushold_lease::Time;
+use hyper::{HeaderMap, Method};
+
+use crate::upstream::Stream;
+
+/// Prefix of headers that only daemons set.
+pub const INTERNAL_PREFIX: &str = "cactushold-";
+
+/// A caller's request, authenticated and stripped.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Unique over the fleet.
+    pub attempt: u64,
+    /// Workspace that the key belongs to.
+    pub workspace: String,
+    /// Service asked for.
+    pub service: String,
+    /// Position of the owned key, if one server has to run it.
+    pub key: Option<u64>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers that go to the upstream.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Deadline on this instance's clock.
+    pub deadline: Time,
+    /// The caller's `Idempotency-Key`.
+    pub idempotency_key: Option<String>,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+}
+
+/// Why a request wasn't answered by the upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Kind of error.
+    pub kind: Kind,
+    /// Details for the caller.
+    pub detail: String,
+    /// Time after which a repeat may succeed.
+    pub retry: Option<Time>,
+}
+
+impl Refusal {
+    /// A refusal without details.
+    pub fn new(kind: Kind) -> Refusal {
+        Refusal { kind, detail: String::new(), retry: None }
+    }
+
+    /// Adds details.
+    pub fn with_detail(self, detail: impl Into<String>) -> Refusal {
+        Refusal { detail: detail.into(), ..self }
+    }
+}
+
+/// The rest of a large answer.
+pub enum Rest {
+    /// Read from the upstream beside this daemon.
+    Local(Stream),
+    /// Read through the upstream's daemon.
+    Remote(cactushold_wire::schema::body::Client),
+}
+
+/// The upstream's answer.
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// First part of the body, or all of it.
+    pub body: Bytes,
+    /// What follows, if the body is large.
+    pub rest: Option<Rest>,
+}
+
+/// How an attempt ended.
+pub type Answer = Result<Reply, Refusal>;
--- /dev/null
+++ b/crates/daemon/src/guard/permit.rs
@@ -0,0 +1,101 @@
+//! A slot held by a request, and a slice that it works in; both are given back on drop.
+
+use std::cell::Cell;
+use std::sync::Arc;
+
+use cactushold_admission::{Signal, Ticket};
+use cactushold_attempt::Kind;
+use cactushold_lease::{SliceId, Time};
+
+use crate::clock;
+use crate::exchange::Refusal;
+use crate::guard::table::Entry;
+use crate::shared::Shared;
+
+/// A held slot.
+pub struct Permit {
+    shared: Arc<Shared>,
+    started: Time,
+    signal: Cell<Signal>,
+}
+
+/// Counts a request in a slice for as long as it lives.
+pub struct Presence {
+    shared: Arc<Shared>,
+    slice: SliceId,
+}
+
+struct Place {
+    shared: Arc<Shared>,
+    ticket: Option<Ticket>,
+}
+
+impl Permit {
+    /// Waits for a slot until the deadline. Dropping the future gives the place up.
+    pub async fn obtain(
+        shared: &Arc<Shared>,
+        workspace: &str,
+        deadline: Time,
+    ) -> Result<Permit, Kind> {
+        let entry = shared.guard().enter(workspace, deadline, clock::now())?;
+        if let Entry::Waiting(ticket, call) = entry {
+            let mut place = Place { shared: Arc::clone(shared), ticket: Some(ticket) };
+            let answer = tokio::time::timeout_at(clock::instant(deadline), call).await;
+            match answer {
+                Ok(Ok(Ok(()))) => place.ticket = None,
+                Ok(Ok(Err(kind))) => {
+                    place.ticket = None;
+                    return Err(kind);
+                }
+                Ok(Err(_)) | Err(_) => return Err(Kind::Expired),
+            }
+        }
+        let signal = Cell::new(Signal::Neutral);
+        Ok(Permit { shared: Arc::clone(shared), started: clock::now(), signal })
+    }
+
+    /// Notes how the upstream answered.
+    pub fn note<T>(&self, outcome: &Result<T, Refusal>) {
+        let signal = match outcome {
+            Ok(_) => Signal::Answered(clock::now().saturating_sub(self.started)),
+            Err(refusal) => match refusal.kind {
+                Kind::Shed | Kind::Unreachable | Kind::Broken | Kind::TimedOut => Signal::Failed,
+                _ => Signal::Neutral,
+            },
+        };
+        self.signal.set(signal);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let view = self.shared.view();
+        self.shared.guard().leave(self.signal.get(), &view.config, clock::now());
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            let view = self.shared.view();
+            let mut guard = self.shared.guard();
+            if guard.cancel(ticket) {
+                guard.leave(Signal::Neutral, &view.config, clock::now());
+            }
+        }
+    }
+}
+
+impl Presence {
+    /// Counts work of a slice.
+    pub fn enter(shared: &Arc<Shared>, slice: SliceId) -> Presence {
+        shared.guard().enter_slice(slice);
+        Presence { shared: Arc::clone(shared), slice }
+    }
+}
+
+impl Drop for Presence {
+    fn drop(&mut self) {
+        self.shared.guard().leave_slice(self.slice);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/guard/serve.rs
@@ -0,0 +1,175 @@
+//! One request through the guard: last checks, slot, idempotency record, upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_attempt::{Kind, Recorded as State};
+use cactushold_lease::{Fence, SliceId, Time};
+use cactushold_placement::hash_key;
+
+use crate::clock;
+use crate::exchange::{Answer, Refusal, Reply, Request};
+use crate::guard::permit::{Permit, Presence};
+use crate::guard::table::Recorded;
+use crate::shared::{Command, Shared, View};
+use crate::upstream::Upstream;
+
+/// How often a repeated request looks whether its first run has ended.
+const POLL_RECORD: Duration = Duration::from_millis(5);
+/// After a takeover, a key without a record may have run at the lost owner.
+const UNSURE_AFTER_TAKEOVER: Duration = crate::guard::table::KEEP_ANSWERS;
+
+/// Runs a request at the upstream, or tells truly that it did not run.
+pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
+    check_place(shared, request)?;
+    match &request.idempotency_key {
+        None => run(shared, upstream, request).await,
+        Some(key) => run_once(shared, upstream, request, key).await,
+    }
+}
+
+/// Whether work of this service may come here at all.
+fn check_place(shared: &Shared, request: &Request) -> Result<(), Refusal> {
+    let instance = &shared.settings.instance;
+    let view = shared.view();
+    if request.service != instance.service {
+        return Err(Refusal::new(Kind::NotOwner).with_detail("another service"));
+    }
+    if request.key.is_none() && (shared.is_leaving() || !view.config.is_zone_in(&instance.zone)) {
+        return Err(Refusal::new(Kind::Draining));
+    }
+    Ok(())
+}
+
+/// The slice of a keyed request.
+fn slice_of(view: &View, request: &Request) -> Result<Option<SliceId>, Refusal> {
+    let Some(key) = request.key else { return Ok(None) };
+    let slice = view.table.locate(&request.service, key);
+    slice.map(|slice| Some(slice.id)).ok_or_else(|| Refusal::new(Kind::NotOwner))
+}
+
+fn fence_of(view: &View, slice: Option<SliceId>, now: Time) -> Result<Option<Fence>, Refusal> {
+    let Some(slice) = slice else { return Ok(None) };
+    view.fence(slice, now).map(Some).ok_or_else(|| Refusal::new(Kind::NotOwner))
+}
+
+async fn run(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
+    let slice = slice_of(&shared.view(), request)?;
+    let _presence = slice.map(|slice| Presence::enter(shared, slice));
+    fence_of(&shared.view(), slice, clock::now())?;
+    let permit = Permit::obtain(shared, &request.workspace, request.deadline).await;
+    let permit = permit.map_err(Refusal::new)?;
+    // The wait may have outlasted ownership, deadline or configuration.
+    let (view, now) = (shared.view(), clock::now());
+    let fence = fence_of(&view, slice, now)?;
+    if now >= request.deadline {
+        return Err(Refusal::new(Kind::Expired));
+    }
+    let expires = match fence {
+        Some(_) => request.deadline.min(view.valid_until),
+        None => request.deadline,
+    };
+    let answer = upstream.send(request, slice.zip(fence), expires, permit).await;
+    if let (Err(refusal), Some(slice)) = (&answer, slice)
+        && refusal.kind == Kind::NotOwner
+    {
+        shared.commands.send(Command::Regrant(slice)).ok();
+    }
+    answer
+}
+
+/// Runs a request under an `Idempotency-Key` at most once.
+async fn run_once(
+    shared: &Arc<Shared>,
+    upstream: &Upstream,
+    request: &Request,
+    key: &str,
+) -> Answer {
+    let name = format!("{}/{}/{key}", request.workspace, request.service);
+    let fingerprint = fingerprint(request);
+    loop {
+        if clock::now() >= request.deadline {
+            return Err(Refusal::new(Kind::TimedOut).with_detail("the first run goes on"));
+        }
+        let state = begin(shared, request, &name, fingerprint)?;
+        match state {
+            State::Fresh => break,
+            State::Running => tokio::time::sleep(POLL_RECORD).await,
+            State::Answered(recorded) => return repeat(recorded),
+            State::Unknown => return Err(Refusal::new(Kind::RecordLost)),
+            State::Reused => return Err(Refusal::new(Kind::KeyReused)),
+        }
+    }
+    let mut note = Note { shared, name: &name, state: Some(State::Unknown) };
+    let answer = run(shared, upstream, request).await;
+    note.state = Some(record_of(&answer));
+    drop(note);
+    answer
+}
+
+fn begin(
+    shared: &Arc<Shared>,
+    request: &Request,
+    name: &str,
+    fingerprint: u64,
+) -> Result<State<Recorded>, Refusal> {
+    let (view, now) = (shared.view(), clock::now());
+    let slice = slice_of(&view, request)?;
+    fence_of(&view, slice, now)?;
+    let mut guard = shared.guard();
+    if !guard.records.has_room() {
+        return Err(Refusal::new(Kind::QueueFull).with_detail("too many Idempotency-Keys"));
+    }
+    let state = guard.records.begin(name, fingerprint, now);
+    if state == State::Fresh && slice.is_some_and(|slice| is_unsure(&view, slice, now)) {
+        guard.records.end(name, State::Unknown, now);
+        return Ok(State::Unknown);
+    }
+    Ok(state)
+}
+
+/// Whether an earlier holder may have run what isn't recorded here.
+fn is_unsure(view: &View, slice: SliceId, now: Time) -> bool {
+    let after_takeover = view.fences.get(&slice).is_some_and(|fence| fence.takeover > 0);
+    let acquired = view.acquired.get(&slice).copied().unwrap_or(now);
+    after_takeover && now < acquired + UNSURE_AFTER_TAKEOVER
+}
+
+/// Records the end of a run, also when the caller goes away before it.
+struct Note<'a> {
+    shared: &'a Arc<Shared>,
+    name: &'a str,
+    state: Option<State<Recorded>>,
+}
+
+impl Drop for Note<'_> {
+    fn drop(&mut self) {
+        if let Some(state) = self.state.take() {
+            self.shared.guard().records.end(self.name, state, clock::now());
+        }
+    }
+}
+
+fn record_of(answer: &Answer) -> State<Recorded> {
+    match answer {
+        Ok(reply) => State::Answered(Recorded {
+            status: reply.status,
+            headers: reply.headers.clone(),
+            body: reply.rest.is_none().then(|| reply.body.clone()),
+        }),
+        Err(refusal) if refusal.kind.ran() == cactushold_attempt::Ran::No => State::Fresh,
+        Err(_) => State::Unknown,
+    }
+}
+
+fn repeat(recorded: Recorded) -> Answer {
+    let Recorded { status, headers, body } = recorded;
+    let body = body.ok_or_else(|| Refusal::new(Kind::AnswerGone))?;
+    Ok(Reply { status, headers, body, rest: None })
+}
+
+fn fingerprint(request: &Request) -> u64 {
+    let mut text = format!("{} {}\n", request.method, request.path).into_bytes();
+    text.extend_from_slice(&request.body);
+    hash_key(&text)
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -0,0 +1,217 @@
+//! Attempts of one request: where to, when again, when two at a time.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactushold_attempt::{Backoff, Kind, Verdict, may_retry};
+use cactushold_lease::{Incarnation, Time};
+use futures::stream::{FuturesUnordered, StreamExt};
+
+use crate::exchange::{Answer, Refusal, Request};
+use crate::ingress::targets::Targets;
+use crate::worker::Worker;
+use crate::{clock, guard, metric, peer};
+
+/// Pauses between attempts.
+const BACKOFF: Backoff = Backoff { base: Duration::from_millis(4), cap: Duration::from_millis(40) };
+/// Attempts under way at a time.
+const MAX_PARALLEL: usize = 2;
+
+/// How one attempt ended.
+struct Outcome {
+    target: Incarnation,
+    answer: Answer,
+    took: Duration,
+}
+
+/// Gives back an attempt's place in the target's score, however it ends.
+struct Tally<'a> {
+    worker: &'a Worker,
+    target: Incarnation,
+    started: Time,
+    is_counted: bool,
+}
+
+impl<'a> Tally<'a> {
+    fn start(worker: &'a Worker, target: Incarnation) -> Tally<'a> {
+        worker.shared.scores().entry(target).or_default().sent();
+        Tally { worker, target, started: clock::now(), is_counted: false }
+    }
+
+    fn end(mut self, failed: bool) -> Duration {
+        let now = clock::now();
+        let took = now.saturating_sub(self.started);
+        self.is_counted = true;
+        self.worker.shared.scores().entry(self.target).or_default().ended(took, failed, now);
+        took
+    }
+}
+
+impl Drop for Tally<'_> {
+    fn drop(&mut self) {
+        if !self.is_counted {
+            let now = clock::now();
+            let elapsed = now.saturating_sub(self.started);
+            self.worker.shared.scores().entry(self.target).or_default().abandoned(elapsed, now);
+        }
+    }
+}
+
+/// Runs a request: one attempt after another, and for idempotent ones a second one beside the
+/// first when that takes unusually long.
+pub async fn run(worker: &Rc<Worker>, request: Request) -> Answer {
+    worker.budget.borrow_mut().earn();
+    let mut plan = Plan::new(worker, &request);
+    let mut running = FuturesUnordered::new();
+    running.push(attempt(worker, &request, plan.target()?));
+    loop {
+        let hedge = plan.hedge_delay(running.len());
+        tokio::select! {
+            Some(outcome) = running.next(), if !running.is_empty() => {
+                match plan.judge(outcome) {
+                    Step::Finish(answer) => return answer,
+                    Step::Wait if !running.is_empty() => {}
+                    Step::Wait => return Err(plan.last),
+                    Step::Again(pause) => {
+                        if running.is_empty() {
+                            tokio::time::sleep(pause).await;
+                            running.push(attempt(worker, &request, plan.target()?));
+                        }
+                    }
+                }
+            }
+            () = tokio::time::sleep(hedge.unwrap_or_default()), if hedge.is_some() => {
+                plan.hedged = true;
+                if worker.budget.borrow_mut().spend() {
+                    metrics::counter!(metric::HEDGES).increment(1);
+                    running.push(attempt(worker, &request, plan.target()?));
+                }
+            }
+            () = tokio::time::sleep_until(clock::instant(request.deadline)) => {
+                return Err(plan.late(!running.is_empty()));
+            }
+        }
+    }
+}
+
+enum Step {
+    Finish(Answer),
+    Again(Duration),
+    Wait,
+}
+
+struct Plan<'a> {
+    worker: &'a Rc<Worker>,
+    request: &'a Request,
+    targets: Targets,
+    failures: u32,
+    hedged: bool,
+    last: Refusal,
+}
+
+impl<'a> Plan<'a> {
+    fn new(worker: &'a Rc<Worker>, request: &'a Request) -> Plan<'a> {
+        let targets = Targets::of(&worker.shared, &worker.shared.view(), request);
+        let kind = if request.key.is_some() { Kind::NoOwner } else { Kind::NoUpstream };
+        let last = Refusal::new(kind);
+        Plan { worker, request, targets, failures: 0, hedged: false, last }
+    }
+
+    /// The next target; holders are looked up anew after each round.
+    fn target(&mut self) -> Result<Incarnation, Refusal> {
+        let shared = &self.worker.shared;
+        let view = shared.view();
+        if self.failures > 0 && self.request.key.is_some() && self.targets.is_round_over() {
+            self.targets = Targets::of(shared, &view, self.request);
+        }
+        let mut random = self.worker.random.borrow_mut();
+        let service = &self.request.service;
+        let target = self.targets.next(shared, &view, service, clock::now(), &mut random);
+        target.ok_or_else(|| self.last.clone())
+    }
+
+    fn hedge_delay(&self, running: usize) -> Option<Duration> {
+        let may = self.request.idempotent && !self.hedged && running > 0 && running < MAX_PARALLEL;
+        may.then(|| self.worker.latency.borrow_mut().high())
+    }
+
+    fn judge(&mut self, outcome: Outcome) -> Step {
+        let refusal = match outcome.answer {
+            Ok(reply) => {
+                self.targets.learn(&self.worker.shared, outcome.target);
+                self.worker.latency.borrow_mut().note(outcome.took);
+                return Step::Finish(Ok(reply));
+            }
+            Err(refusal) => refusal,
+        };
+        self.targets.unlearn(&self.worker.shared, outcome.target);
+        self.failures += 1;
+        let kind = refusal.kind;
+        let says_more = kind != Kind::NotOwner || self.last.kind == Kind::NoUpstream;
+        if says_more {
+            self.last = refusal;
+        }
+        if !may_retry(kind, self.request.idempotent) {
+            return Step::Finish(Err(self.last.clone()));
+        }
+        self.pause(kind)
+    }
+
+    /// A misdirected request costs no upstream anything and is free; others need the budget.
+    fn pause(&mut self, kind: Kind) -> Step {
+        let is_free = matches!(kind, Kind::NotOwner | Kind::Unreachable | Kind::Draining);
+        if !is_free && !self.worker.budget.borrow_mut().spend() {
+            return Step::Finish(Err(self.last.clone()));
+        }
+        metric::retried(kind);
+        if kind == Kind::NotOwner && !self.targets.is_round_over() {
+            return Step::Again(Duration::ZERO);
+        }
+        let left = self.request.deadline.saturating_sub(clock::now());
+        let mut random = self.worker.random.borrow_mut();
+        let idempotent = self.request.idempotent;
+        match BACKOFF.verdict(kind, idempotent, self.failures, left, &mut random) {
+            Verdict::Again(pause) => Step::Again(pause),
+            Verdict::Say(_) => Step::Wait,
+        }
+    }
+
+    /// The refusal when the deadline passes.
+    fn late(&self, is_running: bool) -> Refusal {
+        if is_running { Refusal::new(Kind::TimedOut) } else { self.last.clone() }
+    }
+}
+
+async fn attempt(worker: &Rc<Worker>, request: &Request, target: Incarnation) -> Outcome {
+    let tally = Tally::start(worker, target);
+    let answer = send(worker, request, target).await;
+    let failed = answer.as_ref().err().is_some_and(|refusal| refusal.kind != Kind::NotOwner);
+    Outcome { target, answer, took: tally.end(failed) }
+}
+
+async fn send(worker: &Rc<Worker>, request: &Request, target: Incarnation) -> Answer {
+    let shared = &worker.shared;
+    let view = shared.view();
+    if target == view.id {
+        return guard::serve(shared, &worker.upstream, request).await;
+    }
+    let member = view.table.members.get(&target);
+    let address = member.map(|member| member.peer.address);
+    let address = address.ok_or_else(|| Refusal::new(Kind::Unreachable))?;
+    let link = worker.links.get(address).await;
+    let link = link.map_err(|error| {
+        Refusal::new(Kind::Unreachable).with_detail(format!("daemon {target}: {error}"))
+    })?;
+    let mut call = link.peer.forward_request();
+    peer::write_request(call.get().init_request(), request, clock::now());
+    let open = link.start();
+    let broken = |error: capnp::Error| Refusal::new(Kind::Broken).with_detail(error.to_string());
+    let results = tokio::select! {
+        results = call.send().promise => results.map_err(broken)?,
+        () = link.lost() => return Err(Refusal::new(Kind::Broken).with_detail("connection lost")),
+    };
+    open.answered();
+    let results = results.get().map_err(broken)?;
+    let answer = results.get_answer().map_err(broken)?;
+    peer::read_answer(answer, request.attempt).map_err(broken)?
+}
--- /dev/null
+++ b/crates/daemon/src/ingress/targets.rs
@@ -0,0 +1,115 @@
+//! Which daemons an attempt may go to.
+
+use cactushold_attempt::{Candidate, Choice, Score};
+use cactushold_lease::{Incarnation, Slice, SliceId, Time};
+
+use crate::exchange::Request;
+use crate::shared::{Shared, View};
+
+/// Where a request may go next.
+pub struct Targets {
+    slice: Option<SliceId>,
+    owners: Vec<Incarnation>,
+    turn: usize,
+    tried: Vec<Incarnation>,
+}
+
+impl Targets {
+    /// Holders of a keyed request's slice in order of likelihood; nothing fixed for others.
+    pub fn of(shared: &Shared, view: &View, request: &Request) -> Targets {
+        let slice = request.key.and_then(|key| view.table.locate(&request.service, key));
+        let hint = slice.and_then(|slice| shared.hints().get(&slice.id).copied());
+        let mut owners = Vec::new();
+        for owner in hint.into_iter().chain(slice.into_iter().flat_map(holders)) {
+            if !owners.contains(&owner) && view.table.members.contains_key(&owner) {
+                owners.push(owner);
+            }
+        }
+        Targets { slice: slice.map(|slice| slice.id), owners, turn: 0, tried: Vec::new() }
+    }
+
+    /// The next daemon to try.
+    pub fn next(
+        &mut self,
+        shared: &Shared,
+        view: &View,
+        service: &str,
+        now: Time,
+        random: &mut fastrand::Rng,
+    ) -> Option<Incarnation> {
+        if self.slice.is_some() {
+            let owner = self.owners.get(self.turn % self.owners.len().max(1)).copied();
+            self.turn += 1;
+            return owner;
+        }
+        let target = self.pick(shared, view, service, now, random)?;
+        self.tried.push(target);
+        Some(target)
+    }
+
+    /// Whether every holder has been asked in this round.
+    pub fn is_round_over(&self) -> bool {
+        self.slice.is_none() || self.turn.is_multiple_of(self.owners.len().max(1))
+    }
+
+    /// Remembers who answered for the slice.
+    pub fn learn(&self, shared: &Shared, holder: Incarnation) {
+        if let Some(slice) = self.slice {
+            let mut hints = shared.hints();
+            if self.owners.first() == Some(&holder) && !hints.contains_key(&slice) {
+                return;
+            }
+            hints.insert(slice, holder);
+        }
+    }
+
+    /// Forgets a holder that turned out wrong.
+    pub fn unlearn(&self, shared: &Shared, holder: Incarnation) {
+        if let Some(slice) = self.slice {
+            let mut hints = shared.hints();
+            if hints.get(&slice) == Some(&holder) {
+                hints.remove(&slice);
+            }
+        }
+    }
+
+    fn pick(
+        &self,
+        shared: &Shared,
+        view: &View,
+        service: &str,
+        now: Time,
+        random: &mut fastrand::Rng,
+    ) -> Option<Incarnation> {
+        let members = view.table.members.iter();
+        let serving =
+            members.filter(|(id, member)| member.peer.service == service && view.takes_work(**id));
+        let mut ids: Vec<Incarnation> = serving.map(|(id, _)| *id).collect();
+        let untried: Vec<Incarnation> =
+            ids.iter().copied().filter(|id| !self.tried.contains(id)).collect();
+        if !untried.is_empty() {
+            ids = untried;
+        }
+        let scores = shared.scores();
+        let unknown = Score::default();
+        let zone = &shared.settings.instance.zone;
+        let candidates: Vec<Candidate<'_>> = ids
+            .iter()
+            .map(|id| Candidate {
+                score: scores.get(id).unwrap_or(&unknown),
+                is_local: view.table.members.get(id).is_some_and(|m| m.peer.zone == *zone),
+            })
+            .collect();
+        Choice::pick(&candidates, now, random).map(|at| ids[at])
+    }
+}
+
+/// Possible holders, the likeliest first.
+fn holders(slice: &Slice) -> Vec<Incarnation> {
+    let earlier = slice.previous.map(|previous| previous.assignment);
+    let mut holders = vec![slice.current.owner];
+    holders.extend(earlier.map(|earlier| earlier.owner));
+    holders.push(slice.current.successor);
+    holders.extend(earlier.map(|earlier| earlier.successor));
+    holders
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,27 @@
-//! placeholder
+//! The daemon beside each upstream: ingress for callers, guard of the upstream, and a member of
+//! the fleet that agrees on who owns which keys.
+
+mod admin;
+pub mod cli;
+mod clock;
+mod control;
+pub mod daemon;
+mod error;
+pub mod event;
+mod exchange;
+pub mod exit;
+mod guard;
+mod ingress;
+pub mod log;
+mod metric;
+mod peer;
+mod peer_quota;
+mod quota;
+mod shared;
+mod upstream;
+mod worker;
+
+pub use crate::{
+    admin::{Member, Status},
+    error::Error,
+};
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,1 +1,29 @@
-fn main() {}
+//! `cactusholdd`, the daemon's binary.
+
+use std::process::ExitCode;
+
+use cactushold_config::Settings;
+use cactushold_daemon::cli::{self, Options};
+use cactushold_daemon::exit::Exit;
+use cactushold_daemon::{Error, daemon, log};
+
+#[allow(clippy::print_stderr)]
+fn main() -> ExitCode {
+    let options = cli::parser().run();
+    match run(&options) {
+        Ok(()) => Exit::Success.into(),
+        Err(error) => {
+            eprintln!("cactusholdd: {error}");
+            error.exit().into()
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<(), Error> {
+    let settings = Settings::load(&options.settings)?;
+    if options.check {
+        return Ok(());
+    }
+    log::start(settings.log.format);
+    daemon::run(settings)
+}
--- /dev/null
+++ b/crates/daemon/src/metric.rs
@@ -0,0 +1,42 @@
+//! Counters and gauges.
+
+use cactushold_attempt::Kind;
+
+/// Answers to callers, by kind of refusal.
+pub const REFUSALS: &str = "cactushold_refusals_total";
+/// Further attempts, by the kind that caused them.
+pub const RETRIES: &str = "cactushold_retries_total";
+/// Second attempts sent before the first was answered.
+pub const HEDGES: &str = "cactushold_hedges_total";
+/// Requests received from callers.
+pub const REQUESTS: &str = "cactushold_requests_total";
+/// Requests sent to the upstream.
+pub const UPSTREAM_REQUESTS: &str = "cactushold_upstream_requests_total";
+/// Datagrams sent.
+pub const DATAGRAMS_SENT: &str = "cactushold_datagrams_sent_total";
+/// Bytes of datagrams sent, without headers.
+pub const DATAGRAM_BYTES: &str = "cactushold_datagram_bytes_total";
+/// Calls to the platform.
+pub const PLATFORM_CALLS: &str = "cactushold_platform_calls_total";
+/// Bytes of documents fetched from peers.
+pub const FETCHED_BYTES: &str = "cactushold_fetched_bytes_total";
+/// Slices served.
+pub const SLICES_SERVED: &str = "cactushold_slices_served";
+/// Version of the configuration in force.
+pub const CONFIG_VERSION: &str = "cactushold_config_version";
+/// Version of the slice table in force.
+pub const TABLE_VERSION: &str = "cactushold_table_version";
+/// Silent connections replaced, by what was at the other end.
+pub const SILENT_CONNECTIONS: &str = "cactushold_silent_connections_total";
+/// Processor time used by control work, in microseconds.
+pub const CONTROL_CPU: &str = "cactushold_control_cpu_microseconds_total";
+
+/// Counts a refusal.
+pub fn refused(kind: Kind) {
+    metrics::counter!(REFUSALS, "kind" => kind.name()).increment(1);
+}
+
+/// Counts a further attempt.
+pub fn retried(kind: Kind) {
+    metrics::counter!(RETRIES, "kind" => kind.name()).increment(1);
+}
--- /dev/null
+++ b/crates/daemon/src/peer/convert.rs
@@ -0,0 +1,137 @@
+//! Requests and answers to and from their wire form.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactushold_attempt::Kind;
+use cactushold_lease::Time;
+use cactushold_wire::schema::{answer, header, request};
+use hyper::{HeaderMap, Method};
+
+use crate::exchange::{Answer, Refusal, Reply, Request, Rest};
+use crate::peer;
+
+type Result<T> = std::result::Result<T, capnp::Error>;
+
+/// Writes a request. The deadline travels as the time that is left.
+pub fn write_request(mut builder: request::Builder<'_>, request: &Request, now: Time) {
+    let left = request.deadline.saturating_sub(now).as_millis();
+    builder.set_attempt(request.attempt);
+    builder.set_workspace(&request.workspace);
+    builder.set_service(&request.service);
+    builder.set_keyed(request.key.is_some());
+    builder.set_key_hash(request.key.unwrap_or(0));
+    builder.set_method(request.method.as_str());
+    builder.set_path(request.path.as_bytes());
+    builder.set_body(&request.body);
+    builder.set_budget_ms(u32::try_from(left).unwrap_or(u32::MAX));
+    builder.set_idempotent(request.idempotent);
+    if let Some(key) = &request.idempotency_key {
+        builder.set_idempotency_key(key.as_bytes());
+    }
+    write_headers(builder.init_headers(request.headers.len() as u32), &request.headers);
+}
+
+/// Reads a request; its deadline is counted from `now`.
+pub fn read_request(reader: request::Reader<'_>, now: Time) -> Result<Request> {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let method = reader.get_method()?.to_str()?;
+    let method = Method::from_bytes(method.as_bytes())
+        .map_err(|error| capnp::Error::failed(error.to_string()))?;
+    let idempotency_key = match reader.has_idempotency_key() {
+        true => Some(text(reader.get_idempotency_key()?)),
+        false => None,
+    };
+    Ok(Request {
+        attempt: reader.get_attempt(),
+        workspace: reader.get_workspace()?.to_str()?.to_owned(),
+        service: reader.get_service()?.to_str()?.to_owned(),
+        key: reader.get_keyed().then(|| reader.get_key_hash()),
+        method,
+        path: text(reader.get_path()?),
+        headers: read_headers(reader.get_headers()?)?,
+        body: Bytes::copy_from_slice(reader.get_body()?),
+        deadline: now + Duration::from_millis(reader.get_budget_ms().into()),
+        idempotency_key,
+        idempotent: reader.get_idempotent(),
+    })
+}
+
+/// Writes an answer to the attempt.
+pub fn write_answer(mut builder: answer::Builder<'_>, attempt: u64, answer: Answer, load: u32) {
+    builder.set_attempt(attempt);
+    builder.set_in_flight(load);
+    match answer {
+        Err(refusal) => {
+            let mut refused = builder.init_refused();
+            refused.set_kind(refusal.kind.code());
+            refused.set_detail(&refusal.detail);
+            let retry = refusal.retry.map_or(0, |retry| retry.as_millis() as u32);
+            refused.set_retry_ms(retry);
+        }
+        Ok(reply) => {
+            let mut out = builder.init_reply();
+            out.set_status(reply.status);
+            out.set_body(&reply.body);
+            match reply.rest {
+                Some(Rest::Local(stream)) => out.set_rest(peer::serve_body(stream)),
+                Some(Rest::Remote(body)) => out.set_rest(body),
+                None => {}
+            }
+            write_headers(out.init_headers(reply.headers.len() as u32), &reply.headers);
+        }
+    }
+}
+
+/// Reads the answer to `attempt`; an answer to another one counts as malformed.
+pub fn read_answer(reader: answer::Reader<'_>, attempt: u64) -> Result<Answer> {
+    if reader.get_attempt() != attempt {
+        return Ok(Err(Refusal::new(Kind::BadAnswer).with_detail("crossed answer")));
+    }
+    let which = reader.which().map_err(|_| capnp::Error::failed("unknown answer".to_owned()))?;
+    match which {
+        answer::Refused(refused) => {
+            let refused = refused?;
+            let kind = Kind::from_code(refused.get_kind()).unwrap_or(Kind::BadAnswer);
+            let detail = refused.get_detail()?.to_str()?.to_owned();
+            let retry = Some(refused.get_retry_ms()).filter(|ms| *ms > 0);
+            let retry = retry.map(|ms| Duration::from_millis(ms.into()));
+            Ok(Err(Refusal { kind, detail, retry }))
+        }
+        answer::Reply(reply) => {
+            let reply = reply?;
+            let rest = match reply.has_rest() {
+                true => Some(Rest::Remote(reply.get_rest()?)),
+                false => None,
+            };
+            Ok(Ok(Reply {
+                status: reply.get_status(),
+                headers: read_headers(reply.get_headers()?)?,
+                body: Bytes::copy_from_slice(reply.get_body()?),
+                rest,
+            }))
+        }
+    }
+}
+
+fn write_headers(mut list: capnp::struct_list::Builder<'_, header::Owned>, headers: &HeaderMap) {
+    for (at, (name, value)) in headers.iter().enumerate() {
+        let mut entry = list.reborrow().get(at as u32);
+        entry.set_name(name.as_str().as_bytes());
+        entry.set_value(value.as_bytes());
+    }
+}
+
+fn read_headers(list: capnp::struct_list::Reader<'_, header::Owned>) -> Result<HeaderMap> {
+    let malformed = |error: String| capnp::Error::failed(error);
+    let mut headers = HeaderMap::with_capacity(list.len() as usize);
+    for entry in list {
+        let name = hyper::header::HeaderName::from_bytes(entry.get_name()?);
+        let value = hyper::header::HeaderValue::from_bytes(entry.get_value()?);
+        headers.append(
+            name.map_err(|error| malformed(error.to_string()))?,
+            value.map_err(|error| malformed(error.to_string()))?,
+        );
+    }
+    Ok(headers)
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,11 @@
+//! Calls between daemons, by capnp-rpc.
+
+mod convert;
+mod link;
+mod server;
+
+pub use self::{
+    convert::{read_answer, write_request},
+    link::Links,
+    server::{owned, serve_body, serve_peers},
+};
--- /dev/null
+++ b/crates/daemon/src/peer/server.rs
@@ -0,0 +1,210 @@
+//! Serves other daemons' calls.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_lease::Report;
+use cactushold_placement::{QUOTA, hash_key};
+use cactushold_quota::{Demand, Loan};
+use cactushold_wire::schema::{Document, body, peer, share};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::peer::convert;
+use crate::quota::Owned;
+use crate::shared::{Command, Shared, View};
+use crate::upstream::{Stream, Upstream};
+use crate::{clock, guard};
+
+/// Thousandths in a whole, for rates and tokens on the wire.
+const MILLI: f64 = 1_000.0;
+
+struct Server {
+    shared: Arc<Shared>,
+    upstream: Rc<Upstream>,
+}
+
+struct Body(RefCell<Option<Stream>>);
+
+/// Accepts daemons' connections until the listener is dropped.
+pub async fn serve_peers(listener: TcpListener, shared: Arc<Shared>, upstream: Rc<Upstream>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let server = Server { shared: Arc::clone(&shared), upstream: Rc::clone(&upstream) };
+        tokio::task::spawn_local(serve(stream, server));
+    }
+}
+
+async fn serve(stream: TcpStream, server: Server) {
+    stream.set_nodelay(true).ok();
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        Side::Server,
+        capnp::message::ReaderOptions::new(),
+    );
+    let client: peer::Client = capnp_rpc::new_client(server);
+    RpcSystem::new(Box::new(network), Some(client.client)).await.ok();
+}
+
+/// Makes the rest of an answer readable by the daemon that asked.
+pub fn serve_body(stream: Stream) -> body::Client {
+    capnp_rpc::new_client(Body(RefCell::new(Some(stream))))
+}
+
+impl body::Server for Body {
+    async fn read(
+        self: Rc<Self>,
+        _: body::ReadParams,
+        mut results: body::ReadResults,
+    ) -> Result<(), capnp::Error> {
+        let stream = self.0.borrow_mut().take();
+        let mut stream = stream.ok_or_else(|| capnp::Error::failed("at its end".to_owned()))?;
+        let piece = stream.next().await;
+        let piece = piece.map_err(|refusal| capnp::Error::failed(refusal.detail))?;
+        let mut out = results.get();
+        match piece {
+            Some(piece) => {
+                out.set_chunk(&piece);
+                *self.0.borrow_mut() = Some(stream);
+            }
+            None => out.set_end(true),
+        }
+        Ok(())
+    }
+}
+
+impl peer::Server for Server {
+    async fn forward(
+        self: Rc<Self>,
+        params: peer::ForwardParams,
+        mut results: peer::ForwardResults,
+    ) -> Result<(), capnp::Error> {
+        let request = convert::read_request(params.get()?.get_request()?, clock::now())?;
+        let answer = guard::serve(&self.shared, &self.upstream, &request).await;
+        let load = self.shared.guard().load();
+        let out = results.get().init_answer();
+        convert::write_answer(out, request.attempt, answer, load.running + load.waiting as u32);
+        Ok(())
+    }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: peer::FetchParams,
+        mut results: peer::FetchResults,
+    ) -> Result<(), capnp::Error> {
+        let view = self.shared.view();
+        let (version, content) = match params.get()?.get_document()? {
+            Document::Table => (view.table.version, serde_json::to_vec(&*view.table)),
+            Document::Config => (view.config.version, serde_json::to_vec(&*view.config)),
+        };
+        let mut out = results.get();
+        out.set_version(version);
+        out.set_content(&content.map_err(|error| capnp::Error::failed(error.to_string()))?);
+        Ok(())
+    }
+
+    async fn patch(
+        self: Rc<Self>,
+        params: peer::PatchParams,
+        mut results: peer::PatchResults,
+    ) -> Result<(), capnp::Error> {
+        let content = params.get()?.get_content()?.to_vec();
+        let (sender, outcome) = oneshot::channel();
+        self.shared.commands.send(Command::Patch(content, sender)).ok();
+        let outcome = outcome.await;
+        let outcome = outcome.map_err(|_| capnp::Error::failed("not leading".to_owned()))?;
+        results.get().set_outcome(&outcome);
+        Ok(())
+    }
+
+    async fn report(
+        self: Rc<Self>,
+        params: peer::ReportParams,
+        mut results: peer::ReportResults,
+    ) -> Result<(), capnp::Error> {
+        let report: Report = serde_json::from_slice(params.get()?.get_content()?)
+            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let leads = self.shared.view().leads;
+        if leads {
+            self.shared.commands.send(Command::Report(report)).ok();
+        }
+        results.get().set_accepted(leads);
+        Ok(())
+    }
+
+    async fn share(
+        self: Rc<Self>,
+        params: peer::ShareParams,
+        mut results: peer::ShareResults,
+    ) -> Result<(), capnp::Error> {
+        let demands = params.get()?.get_demands()?;
+        let view = self.shared.view();
+        let mut answers = Vec::new();
+        for demand in demands {
+            let workspace = demand.get_workspace()?.to_str()?.to_owned();
+            let Some(owned) = owned(&view, &workspace) else { continue };
+            let held = Loan {
+                rate: demand.get_held_milli() as f64 / MILLI,
+                depth: f64::from(demand.get_held_depth_milli()) / MILLI,
+                fresh: 0.0,
+            };
+            if demand.get_tokens_milli() > 0 {
+                let taken = self.shared.quota().take(&workspace, owned);
+                answers.push((workspace, taken.map(Answer::Token)));
+            } else {
+                let asked = Demand { rate: demand.get_rate_milli() as f64 / MILLI, held };
+                let mut ledger = self.shared.quota();
+                let loan = ledger.lend(&workspace, demand.get_daemon(), asked, owned);
+                answers.push((workspace, loan.map(Answer::Loan)));
+            }
+        }
+        answers.retain(|(_, answer)| answer.is_some());
+        results.get().set_accepted(!answers.is_empty());
+        let mut shares = results.get().init_shares(answers.len() as u32);
+        for (at, (workspace, answer)) in answers.into_iter().enumerate() {
+            let mut out = shares.reborrow().get(at as u32);
+            out.set_workspace(&workspace);
+            if let Some(answer) = answer {
+                answer.write(out);
+            }
+        }
+        Ok(())
+    }
+}
+
+enum Answer {
+    Loan(Loan),
+    Token(Result<(), Duration>),
+}
+
+impl Answer {
+    fn write(self, mut out: share::Builder<'_>) {
+        match self {
+            Answer::Loan(loan) => {
+                out.set_rate_milli((loan.rate * MILLI) as u64);
+                out.set_burst_milli((loan.depth * MILLI) as u64);
+                out.set_fresh_milli((loan.fresh * MILLI) as u64);
+            }
+            Answer::Token(Ok(())) => out.set_fresh_milli(MILLI as u64),
+            Answer::Token(Err(wait)) => out.set_wait_ms(wait.as_millis() as u32 + 1),
+        }
+    }
+}
+
+/// Proof that a workspace's bucket is owned here now.
+pub fn owned<'a>(view: &'a View, workspace: &str) -> Option<Owned<'a>> {
+    let now = clock::now();
+    let slice = view.table.locate(QUOTA, hash_key(workspace.as_bytes()))?.id;
+    let fence = view.fence(slice, now)?;
+    let acquired = view.acquired.get(&slice).copied()?;
+    Some(Owned { fence, acquired, config: &view.config, now })
+}
--- /dev/null
+++ b/crates/daemon/src/quota.rs
@@ -0,0 +1,141 @@
+//! Buckets of the workspaces owned here, and the shares borrowed from their owners.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use cactushold_config::Config;
+use cactushold_lease::{Fence, Incarnation, Time};
+use cactushold_quota::{Bucket, Demand, Limits, Loan, Share, Terms};
+
+/// Weight of the latest interval in the demand that is reported.
+const SMOOTHING: f64 = 0.5;
+/// A workspace without requests for this long asks for nothing.
+const QUIET: Duration = Duration::from_secs(6);
+/// After an owner's refusal, a workspace is refused here without asking for at most this long.
+const REMEMBER_REFUSAL: Duration = Duration::from_millis(100);
+
+#[derive(Default)]
+struct Use {
+    share: Share,
+    seen: u32,
+    rate: f64,
+    last_request: Time,
+    refused_until: Time,
+}
+
+/// A demand that is due.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// Workspace.
+    pub workspace: String,
+    /// What to ask for.
+    pub demand: Demand,
+}
+
+/// What a request may do as far as its workspace's rate goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spend {
+    /// Run.
+    Granted,
+    /// Ask the bucket's owner for one token.
+    Ask,
+    /// Refuse for this long.
+    Refused(Duration),
+}
+
+/// The daemon's part in all quotas.
+#[derive(Default)]
+pub struct Ledger {
+    buckets: HashMap<String, (Fence, Bucket)>,
+    uses: HashMap<String, Use>,
+    measured_at: Time,
+}
+
+impl Ledger {
+    /// Spends from the borrowed share.
+    pub fn spend(&mut self, workspace: &str, now: Time) -> Spend {
+        let used = self.uses.entry(workspace.to_owned()).or_default();
+        used.seen += 1;
+        used.last_request = now;
+        if used.share.take(now) {
+            return Spend::Granted;
+        }
+        if now < used.refused_until {
+            return Spend::Refused(used.refused_until - now);
+        }
+        Spend::Ask
+    }
+
+    /// Notes that the owner had no token and when there will be one.
+    pub fn refused(&mut self, workspace: &str, wait: Duration, now: Time) {
+        if let Some(used) = self.uses.get_mut(workspace) {
+            used.refused_until = now + wait.min(REMEMBER_REFUSAL);
+        }
+    }
+
+    /// Demands of all workspaces that had requests lately; measures their rates.
+    pub fn demands(&mut self, now: Time) -> Vec<Due> {
+        let elapsed = now.saturating_sub(self.measured_at).as_secs_f64().max(1e-3);
+        self.measured_at = now;
+        self.uses.retain(|_, used| now < used.last_request + QUIET);
+        let due = self.uses.iter_mut().map(|(workspace, used)| {
+            let rate = f64::from(std::mem::take(&mut used.seen)) / elapsed;
+            used.rate += SMOOTHING * (rate - used.rate);
+            let demand = Demand { rate: used.rate.max(rate), held: used.share.held(now) };
+            Due { workspace: workspace.clone(), demand }
+        });
+        due.collect()
+    }
+
+    /// Takes up a loan that was asked for at `sent`.
+    pub fn borrow(&mut self, workspace: &str, loan: Loan, sent: Time, now: Time) {
+        if let Some(used) = self.uses.get_mut(workspace) {
+            used.share.renew(loan, sent, now, &Terms::default());
+        }
+    }
+
+    /// Serves a demand as owner of the workspace's bucket under `fence`.
+    pub fn lend(
+        &mut self,
+        workspace: &str,
+        borrower: Incarnation,
+        demand: Demand,
+        owned: Owned<'_>,
+    ) -> Option<Loan> {
+        let now = owned.now;
+        Some(self.bucket(workspace, owned)?.lend(borrower, demand, now))
+    }
+
+    /// Takes a single token as owner of the workspace's bucket; tells the wait if there is none.
+    pub fn take(&mut self, workspace: &str, owned: Owned<'_>) -> Option<Result<(), Duration>> {
+        let now = owned.now;
+        let bucket = self.bucket(workspace, owned)?;
+        Some(if bucket.take(now) { Ok(()) } else { Err(bucket.wait(now)) })
+    }
+
+    fn bucket(&mut self, workspace: &str, owned: Owned<'_>) -> Option<&mut Bucket> {
+        let Owned { fence, acquired, config, now } = owned;
+        let configured = config.workspaces.get(workspace)?;
+        let limits = Limits { rate: configured.rate, burst: configured.burst };
+        let fresh = || (fence, Bucket::new(limits, Terms::default(), acquired));
+        let entry = self.buckets.entry(workspace.to_owned()).or_insert_with(fresh);
+        if entry.0 != fence {
+            *entry = fresh();
+        }
+        entry.1.set_limits(limits, now);
+        Some(&mut entry.1)
+    }
+}
+
+/// Proof that a bucket is owned here.
+#[derive(Clone, Copy)]
+pub struct Owned<'a> {
+    /// Fence of the bucket's slice.
+    pub fence: Fence,
+    /// When the slice was acquired.
+    pub acquired: Time,
+    /// Configuration in force.
+    pub config: &'a Config,
+    /// Present time.
+    pub now: Time,
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,196 @@
+//! Tables shared by all workers.
+//!
+//! Lock order: `view`, `guard`, `quota`, `scores`, `hints`. No thread holds two of them at a time
+//! today, and none is held across an await.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+
+use cactushold_attempt::Score;
+use cactushold_config::{Config, Settings};
+use cactushold_lease::{Fence, Incarnation, SliceId, Table, Time};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::guard::Guard;
+use crate::quota::Ledger;
+
+/// How long a configuration may be used after it was last known to be current.
+pub const FRESHNESS: Duration = Duration::from_secs(3);
+
+/// What requests are decided by; swapped whole.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// This process's incarnation; 0 before it is registered.
+    pub id: Incarnation,
+    /// Configuration in force.
+    pub config: Arc<Config>,
+    /// Slice table in force.
+    pub table: Arc<Table>,
+    /// Slices that the upstream accepted a grant for, and their fences.
+    pub fences: HashMap<SliceId, Fence>,
+    /// When each of them was acquired.
+    pub acquired: HashMap<SliceId, Time>,
+    /// The first moment at which none of them may be served.
+    pub valid_until: Time,
+    /// The latest moment at which the configuration was known to be current.
+    pub fresh_at: Option<Time>,
+    /// Whether this daemon leads.
+    pub leads: bool,
+}
+
+impl View {
+    /// The fence under which a slice may be served at `now`.
+    pub fn fence(&self, slice: SliceId, now: Time) -> Option<Fence> {
+        if now < self.valid_until { self.fences.get(&slice).copied() } else { None }
+    }
+
+    /// Whether the configuration is surely recent at `now`.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.fresh_at.is_some_and(|at| now < at + FRESHNESS)
+    }
+
+    /// Whether a member may get new work.
+    pub fn takes_work(&self, id: Incarnation) -> bool {
+        let member = self.table.members.get(&id);
+        member
+            .is_some_and(|member| !member.peer.leaving && self.config.is_zone_in(&member.peer.zone))
+    }
+}
+
+/// What workers ask of the control thread.
+pub enum Command {
+    /// Order a patch; only the leader can.
+    Patch(Vec<u8>, oneshot::Sender<Vec<u8>>),
+    /// Take a member's report.
+    Report(cactushold_lease::Report),
+    /// The upstream doesn't know the grant of a slice.
+    Regrant(SliceId),
+}
+
+/// Addresses that the daemon listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Other daemons.
+    pub peers: SocketAddr,
+    /// Operators' HTTP.
+    pub admin: SocketAddr,
+}
+
+/// Everything that the threads share.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Where the daemon listens.
+    pub addresses: Addresses,
+    view: RwLock<Arc<View>>,
+    guard: Mutex<Guard>,
+    quota: Mutex<Ledger>,
+    scores: Mutex<HashMap<Incarnation, Score>>,
+    hints: Mutex<BTreeMap<SliceId, Incarnation>>,
+    attempts: AtomicU64,
+    leaving: AtomicBool,
+    open: AtomicUsize,
+    /// To the control thread.
+    pub commands: mpsc::UnboundedSender<Command>,
+    /// Turns true when listeners have to close.
+    pub stop: watch::Sender<bool>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Empty tables.
+    pub fn new(
+        settings: Settings,
+        addresses: Addresses,
+        commands: mpsc::UnboundedSender<Command>,
+    ) -> Shared {
+        let guard = Guard::new(&settings.limits);
+        Shared {
+            settings,
+            addresses,
+            view: RwLock::default(),
+            guard: Mutex::new(guard),
+            quota: Mutex::default(),
+            scores: Mutex::default(),
+            hints: Mutex::default(),
+            attempts: AtomicU64::new(fastrand::u64(..1 << 40) << 20),
+            leaving: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            commands,
+            stop: watch::Sender::new(false),
+        }
+    }
+
+    /// The present view.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().unwrap_or_else(std::sync::PoisonError::into_inner))
+    }
+
+    /// Swaps the view.
+    pub fn publish(&self, view: View) {
+        *self.view.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Arc::new(view);
+    }
+
+    /// The guard's table.
+    pub fn guard(&self) -> MutexGuard<'_, Guard> {
+        lock(&self.guard)
+    }
+
+    /// Buckets and shares.
+    pub fn quota(&self) -> MutexGuard<'_, Ledger> {
+        lock(&self.quota)
+    }
+
+    /// What was seen of each upstream.
+    pub fn scores(&self) -> MutexGuard<'_, HashMap<Incarnation, Score>> {
+        lock(&self.scores)
+    }
+
+    /// Holders of slices that differ from the table.
+    pub fn hints(&self) -> MutexGuard<'_, BTreeMap<SliceId, Incarnation>> {
+        lock(&self.hints)
+    }
+
+    /// An attempt id that is unique over the fleet.
+    pub fn next_attempt(&self) -> u64 {
+        self.attempts.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether the daemon is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Marks the daemon as leaving.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests of callers that aren't wholly answered.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's request until the returned value is dropped.
+    pub fn open_request(self: &Arc<Shared>) -> OpenRequest {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(Arc::clone(self))
+    }
+}
+
+/// A caller's request that isn't wholly answered.
+pub struct OpenRequest(Arc<Shared>);
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/worker.rs
@@ -0,0 +1,108 @@
+//! A worker thread: callers, daemons' calls and the upstream, on one event loop.
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_attempt::{Budget, Percentile};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+use crate::error::Error;
+use crate::ingress;
+use crate::peer::{Links, serve_peers};
+use crate::shared::Shared;
+use crate::upstream::Upstream;
+
+/// Retries and hedges allowed for each first attempt.
+const RETRY_FRACTION: f64 = 0.1;
+/// Retries and hedges that may be saved up.
+const RETRY_RESERVE: f64 = 20.0;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+/// How often a stopping worker looks whether its requests have ended.
+const POLL_STOP: Duration = Duration::from_millis(10);
+
+/// What a worker's tasks share.
+pub struct Worker {
+    /// Tables of the daemon.
+    pub shared: Arc<Shared>,
+    /// Connections to other daemons.
+    pub links: Links,
+    /// Connections to the upstream.
+    pub upstream: Rc<Upstream>,
+    /// Bounds retries and hedges.
+    pub budget: RefCell<Budget>,
+    /// Latency of attempts, to time hedges by.
+    pub latency: RefCell<Percentile>,
+    /// Source of jitter and choice.
+    pub random: RefCell<fastrand::Rng>,
+}
+
+/// Listens on an address that was reserved; each worker does so by itself.
+///
+/// # Errors
+/// The address is in use.
+pub fn listen(address: SocketAddr) -> Result<StdListener, Error> {
+    let socket = reserve(address)?;
+    socket.listen(BACKLOG).map_err(|source| Error::Listen { address, source })?;
+    Ok(socket.into())
+}
+
+/// Binds an address for workers to listen on, without accepting anything.
+///
+/// # Errors
+/// The address is in use or not this machine's.
+pub fn reserve(address: SocketAddr) -> Result<socket2::Socket, Error> {
+    let fail = |source| Error::Listen { address, source };
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None).map_err(fail)?;
+    socket.set_reuse_address(true).map_err(fail)?;
+    socket.set_reuse_port(true).map_err(fail)?;
+    socket.set_nonblocking(true).map_err(fail)?;
+    socket.bind(&address.into()).map_err(fail)?;
+    Ok(socket)
+}
+
+/// Runs a worker until the daemon has stopped and its requests have ended.
+///
+/// # Errors
+/// A listener or the event loop can't be started.
+pub fn run(shared: Arc<Shared>) -> Result<(), Error> {
+    let callers = listen(shared.addresses.callers)?;
+    let peers = listen(shared.addresses.peers)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        let callers = TcpListener::from_std(callers)?;
+        let peers = TcpListener::from_std(peers)?;
+        let upstream = Rc::new(Upstream::new(shared.settings.upstream.address));
+        let worker = Rc::new(Worker {
+            shared: Arc::clone(&shared),
+            links: Links::default(),
+            upstream: Rc::clone(&upstream),
+            budget: RefCell::new(Budget::new(RETRY_FRACTION, RETRY_RESERVE)),
+            latency: RefCell::default(),
+            random: RefCell::new(fastrand::Rng::new()),
+        });
+        tokio::task::spawn_local(serve_peers(peers, Arc::clone(&shared), upstream));
+        ingress::serve_callers(callers, worker).await;
+        finish(&shared).await;
+        Ok(())
+    })
+}
+
+/// Waits for open requests, within the limit for a graceful shutdown.
+async fn finish(shared: &Shared) {
+    let limit = Duration::from_millis(shared.settings.limits.drain_ms);
+    let idle = async {
+        while shared.open_requests() > 0 || shared.guard().busy() > 0 {
+            tokio::time::sleep(POLL_STOP).await;
+        }
+    };
+    tokio::time::timeout(limit, idle).await.ok();
+    // Answers that are complete still have to reach their callers.
+    tokio::time::sleep(POLL_STOP).await;
+}
--- a/crates/lease/src/member.rs
+++ b/crates/lease/src/member.rs
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Makes the next renewal due at once.
+    pub fn hasten(&mut self) {
+        self.renewed_at = None;
+    }
+
     /// Sends what is due at `now`.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Envelope>) {
         self.renew(now, out);
@@ -201,6 +206,8 @@
             Message::Renew { number, other, sent, known } => {
                 let decision = self.on_renew(from, number, other, known, now);
                 if let Decision::Renewed(known) = decision {
+                    // A configuration counts as known only once its content is here.
+                    let known = Known { config: self.known.config, ..known };
                     self.send(from, Message::Renewed { number, sent, known }, out);
                 }
             }
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -62,6 +62,8 @@
     pub service: String,
     /// Address for datagrams and calls.
     pub address: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
     /// Whether the instance is leaving and gets no new slices.
     #[serde(default)]
     pub leaving: bool,
--- a/crates/lease/tests/world/mod.rs
+++ b/crates/lease/tests/world/mod.rs
@@ -99,6 +99,7 @@
             zone: String::new(),
             service: "s".to_owned(),
             address,
+            admin: address,
             leaving: false,
         };
         let grant = Grant { epoch: 1, sponsors: [other(2), other(3)] };
--- a/crates/placement/src/revise.rs
+++ b/crates/placement/src/revise.rs
@@ -21,8 +21,9 @@
 /// for id in 1..=3 {
 ///     let address = ([127, 0, 0, 1], 7000 + id as u16).into();
 ///     let (instance, zone) = (format!("i{id}"), format!("z{id}"));
-///     let service = "lookup".to_owned();
-///     view.registered.insert(id, Peer { instance, zone, service, address, leaving: false });
+///     let (service, admin) = ("lookup".to_owned(), address);
+///     let peer = Peer { instance, zone, service, address, admin, leaving: false };
+///     view.registered.insert(id, peer);
 /// }
 /// let table = revise(&Table::default(), &view).expect("a first table");
 /// assert_eq!(table.members.len(), 3);
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -5,8 +5,13 @@
 
 use crate::{Borrower, Loan, Terms};
 
-/// Rate kept back for requests that come to daemons without a loan.
+/// Part of the rate that is never lent: it serves daemons without a loan, also while a new owner
+/// doesn't know what the last one lent.
 const KEPT_BACK: f64 = 0.1;
+/// Part of the burst that may be lent as depth.
+const LENT_DEPTH: f64 = 0.5;
+/// Workspaces with a lower rate ask for each request; nothing of theirs is lent.
+const LEAST_RATE_PER_S: f64 = 100.0;
 /// A borrower gets this much more than it asked for, to follow growth.
 const HEADROOM: f64 = 1.25;
 /// Rates below this are not lent; their requests ask one by one.
@@ -48,7 +53,7 @@
 /// let mut bucket = Bucket::new(limits, Terms::default(), Duration::ZERO);
 /// let now = Duration::from_secs(10);
 /// let loan = bucket.lend(1, Demand { rate: 40.0, ..Demand::default() }, now);
-/// assert_eq!(loan.rate, 50.0);
+/// assert_eq!(loan.rate, 50.0, "with headroom");
 /// assert!(bucket.take(now), "single tokens are left for others");
 /// ```
 #[derive(Clone, Debug)]
@@ -110,10 +115,11 @@
         }
         let others = self.lent_to_others(borrower, now);
         let rate = self.fair_rate(borrower, demand.rate, now);
-        let rate = rate.min(self.limits.rate - others.rate).max(0.0);
+        let rate = rate.min(self.lendable_rate() - others.rate).max(0.0);
         let rate = if rate < LEAST_LOAN_PER_S { 0.0 } else { rate };
         let before = self.lent_to(borrower, now);
         let wanted = if rate > 0.0 { (rate * DEPTH_S).max(1.0) } else { 0.0 };
+        let wanted = wanted.min((self.limits.burst * LENT_DEPTH - others.depth).max(0.0));
         let more = (wanted - before.depth).clamp(0.0, self.tokens.floor());
         let depth = if wanted > before.depth { before.depth + more } else { wanted };
         self.tokens -= more;
@@ -125,15 +131,15 @@
         let others = self.lent_to_others(borrower, now);
         let known = self.grants.contains_key(&borrower);
         let before = if known { self.lent_to(borrower, now) } else { held };
-        let rate = before.rate.min(self.limits.rate - others.rate).max(0.0);
-        let depth = before.depth.min(self.limits.burst - others.depth).max(0.0);
+        let rate = before.rate.min(self.lendable_rate() - others.rate).max(0.0);
+        let depth = before.depth.min(self.limits.burst * LENT_DEPTH - others.depth).max(0.0);
         self.note(borrower, rate, depth, now);
         Loan { rate, depth, fresh: 0.0 }
     }
 
     /// The borrower's part if everyone got what it lately asked for, scaled down to the rate.
     fn fair_rate(&self, borrower: Borrower, wanted: f64, now: Duration) -> f64 {
-        let lendable = self.limits.rate * (1.0 - KEPT_BACK);
+        let lendable = self.lendable_rate();
         let recent = |at: Duration| now < at + self.terms.term;
         let all = self.demands.values().filter(|(_, at)| recent(*at));
         let total: f64 = all.map(|(rate, _)| rate * HEADROOM).sum();
@@ -141,6 +147,11 @@
         if total <= lendable { own } else { own * lendable / total }
     }
 
+    fn lendable_rate(&self) -> f64 {
+        let rate = self.limits.rate;
+        if rate < LEAST_RATE_PER_S { 0.0 } else { rate * (1.0 - KEPT_BACK) }
+    }
+
     fn note(&mut self, borrower: Borrower, rate: f64, depth: f64, now: Duration) {
         let until = now + self.terms.term + self.terms.margin;
         let grants = self.grants.entry(borrower).or_default();
@@ -173,14 +184,33 @@
         })
     }
 
-    /// Adds what came in at the rate that isn't lent, up to the burst that isn't lent.
+    /// Adds what came in at the rate that isn't lent, up to the burst that isn't lent. Without
+    /// knowledge of an earlier owner's loans, all that may be lent counts as lent.
     fn refill(&mut self, now: Duration) {
-        let lent = self.lent(self.updated);
-        let elapsed = now.saturating_sub(self.updated.max(self.blind_until)).as_secs_f64();
-        let free = (self.limits.rate - lent.rate).max(0.0);
-        let room = (self.limits.burst - lent.depth).max(0.0);
-        self.tokens = (self.tokens + free * elapsed).min(room);
+        let mut from = self.updated;
+        if from < self.blind_until {
+            let lent = Loan {
+                rate: self.lendable_rate(),
+                depth: if self.lendable_rate() > 0.0 {
+                    self.limits.burst * LENT_DEPTH
+                } else {
+                    0.0
+                },
+                fresh: 0.0,
+            };
+            let to = now.min(self.blind_until);
+            self.add(lent, to.saturating_sub(from));
+            from = to;
+        }
+        let lent = self.lent(from);
+        self.add(lent, now.saturating_sub(from));
         self.updated = self.updated.max(now);
         self.grants.retain(|_, grants| grants.iter().any(|grant| now < grant.until));
     }
+
+    fn add(&mut self, lent: Loan, elapsed: Duration) {
+        let free = (self.limits.rate - lent.rate).max(0.0);
+        let room = (self.limits.burst - lent.depth).max(0.0);
+        self.tokens = (self.tokens + free * elapsed.as_secs_f64()).min(room);
+    }
 }
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -1,1 +1,416 @@
+//! Starts daemons as processes between stand-ins, for tests, the demo and measurements.
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::upstream::Shape;
+use crate::{platform, upstream};
+
+/// How long the environment waits for something that has to happen.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An answer to a caller.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The body as JSON; null if it isn't.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// A caller or operator.
+#[derive(Clone)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Http {
+    fn default() -> Http {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Http { client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+}
+
+impl Http {
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// No whole answer came; the text tells why.
+    pub async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, String> {
+        let mut request = Request::builder().method(method).uri(format!("http://{address}{path}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into())).map_err(|error| error.to_string())?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|e| e.to_string())?;
+            let (status, headers) = (response.status(), response.headers().clone());
+            let body = response.into_body().collect().await.map_err(|e| e.to_string())?;
+            Ok(Answer { status, headers, body: body.to_bytes() })
+        };
+        tokio::time::timeout(PATIENCE, exchange).await.map_err(|_| "no answer".to_owned())?
+    }
+
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    /// No answer came.
+    pub async fn get_json(&self, address: SocketAddr, path: &str) -> Result<Value, String> {
+        Ok(self.send(Method::GET, address, path, &[], "").await?.json())
+    }
+
+    /// Puts a JSON document.
+    ///
+    /// # Errors
+    /// No answer came.
+    pub async fn put_json(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        value: &Value,
+    ) -> Result<Answer, String> {
+        let headers = [("content-type", "application/json")];
+        self.send(Method::PUT, address, path, &headers, value.to_string()).await
+    }
+}
+
+/// A daemon process beside its upstream stand-in.
+pub struct Daemon {
+    /// Name of the instance.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Service.
+    pub service: String,
+    /// Address of its upstream.
+    pub upstream: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Daemon {
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Lines logged so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("no holder panics").clone()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("a child's id is positive");
+        kill_process(pid, signal).ok();
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Exit code, once the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().and_then(|status| status.code())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Stand-ins and daemons of one run.
+pub struct Environment {
+    /// Address of the platform stand-in.
+    pub platform: SocketAddr,
+    /// The daemons, in the order they were started.
+    pub daemons: Vec<Daemon>,
+    /// For requests of any kind.
+    pub http: Http,
+    settings: PathBuf,
+    /// Worker threads of each daemon.
+    pub workers: usize,
+    /// Lines added to each daemon's settings.
+    pub extra_settings: String,
+}
+
+/// Path of a binary of this workspace, beside the running one.
+///
+/// # Panics
+/// The binary wasn't built.
+pub fn binary(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("the running binary has a path");
+    let mut folder = own.parent().expect("a file has a folder").to_owned();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    let path = folder.join(name);
+    assert!(path.exists(), "{name} isn't built: run cargo build --workspace first");
+    path
+}
+
+impl Environment {
+    /// Starts the platform stand-in.
+    ///
+    /// # Panics
+    /// It can't be started.
+    pub async fn new() -> Environment {
+        let any = ([127, 0, 0, 1], 0).into();
+        let (platform, _) = platform::start(any).await.expect("a free port");
+        let name = format!("cactushold-{}-{}", std::process::id(), platform.port());
+        let settings = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&settings).expect("a folder for settings");
+        Environment {
+            platform,
+            daemons: Vec::new(),
+            http: Http::default(),
+            settings,
+            workers: 1,
+            extra_settings: String::new(),
+        }
+    }
+
+    /// Starts an upstream stand-in and the daemon beside it; returns its index.
+    ///
+    /// # Panics
+    /// One of them can't be started.
+    pub async fn add(&mut self, name: &str, zone: &str, service: &str, shape: Shape) -> usize {
+        let any = ([127, 0, 0, 1], 0).into();
+        let (upstream, _) = upstream::start(any, shape).await.expect("a free port");
+        self.add_beside(name, zone, service, upstream)
+    }
+
+    /// Starts a daemon beside a running upstream; returns its index.
+    ///
+    /// # Panics
+    /// It can't be started.
+    pub fn add_beside(
+        &mut self,
+        name: &str,
+        zone: &str,
+        service: &str,
+        upstream: SocketAddr,
+    ) -> usize {
+        let daemon = self.spawn(name, zone, service, upstream);
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    /// Ends a daemon, if it still runs, and starts a new process in its place.
+    ///
+    /// # Panics
+    /// It can't be started.
+    pub fn restart(&mut self, index: usize) {
+        self.daemons[index].kill();
+        let old = &self.daemons[index];
+        let (name, zone, service) = (old.name.clone(), old.zone.clone(), old.service.clone());
+        let upstream = old.upstream;
+        self.daemons[index] = self.spawn(&name, &zone, &service, upstream);
+    }
+
+    fn spawn(&self, name: &str, zone: &str, service: &str, upstream: SocketAddr) -> Daemon {
+        let path = self.settings.join(format!("{name}.toml"));
+        let text = format!(
+            "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nservice = \"{service}\"\n\
+             [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+             admin = \"127.0.0.1:0\"\n\
+             [platform]\naddress = \"{}\"\n[upstream]\naddress = \"{upstream}\"\n\
+             [log]\nformat = \"json\"\n[limits]\nworkers = {}\n{}",
+            self.platform, self.workers, self.extra_settings
+        );
+        std::fs::write(&path, text).expect("settings can be written");
+        let mut child = Command::new(binary("cactusholdd"))
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("cactusholdd starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("piped"));
+        let mut first = String::new();
+        lines.read_line(&mut first).expect("the first log line");
+        let listening: Value = serde_json::from_str(&first).unwrap_or_default();
+        let address = |key: &str| {
+            let text = listening[key].as_str().unwrap_or_else(|| panic!("{name}: {first}"));
+            text.parse().expect("an address")
+        };
+        let (callers, admin) = (address("callers"), address("admin"));
+        let log = Arc::new(Mutex::new(vec![first]));
+        let copy = Arc::clone(&log);
+        std::thread::spawn(move || {
+            for line in lines.lines().map_while(Result::ok) {
+                if std::env::var_os("CACTUSHOLD_SHOW_LOGS").is_some() {
+                    writeln!(std::io::stderr(), "{line}").ok();
+                }
+                copy.lock().expect("no holder panics").push(line);
+            }
+        });
+        Daemon {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            service: service.to_owned(),
+            upstream,
+            callers,
+            admin,
+            child,
+            log,
+        }
+    }
+
+    /// State of a daemon; null if it doesn't answer.
+    pub async fn status(&self, index: usize) -> Value {
+        self.http.get_json(self.daemons[index].admin, "/status").await.unwrap_or_default()
+    }
+
+    /// Sends a patch to a daemon.
+    ///
+    /// # Panics
+    /// The daemon doesn't answer.
+    pub async fn patch(&self, index: usize, id: &str, base: u64, operations: Value) -> Value {
+        let patch = json!({ "id": id, "base": base, "operations": operations });
+        let admin = self.daemons[index].admin;
+        let answer = self.http.send(Method::POST, admin, "/patch", &[], patch.to_string()).await;
+        answer.expect("an answer to the patch").json()
+    }
+
+    /// Sets faults of the platform stand-in.
+    ///
+    /// # Panics
+    /// The stand-in doesn't answer.
+    pub async fn platform_faults(&self, faults: Value) {
+        self.http.put_json(self.platform, "/_faults", &faults).await.expect("a stand-in");
+    }
+
+    /// Sets faults of an upstream stand-in.
+    ///
+    /// # Panics
+    /// The stand-in doesn't answer.
+    pub async fn upstream_faults(&self, index: usize, faults: Value) {
+        let address = self.daemons[index].upstream;
+        self.http.put_json(address, "/_faults", &faults).await.expect("a stand-in");
+    }
+
+    /// All runs in the logs of all upstreams.
+    pub async fn runs(&self) -> Vec<upstream::Run> {
+        let mut runs: Vec<upstream::Run> = Vec::new();
+        for daemon in &self.daemons {
+            let found = self.http.get_json(daemon.upstream, "/_runs").await.unwrap_or_default();
+            runs.extend(serde_json::from_value::<Vec<upstream::Run>>(found).unwrap_or_default());
+        }
+        runs
+    }
+
+    /// Waits until a condition on all daemons' states holds; returns how long that took.
+    ///
+    /// # Panics
+    /// It doesn't hold within [`PATIENCE`].
+    pub async fn until(&self, what: &str, holds: impl Fn(&[Value]) -> bool) -> Duration {
+        let start = Instant::now();
+        loop {
+            let mut states = Vec::new();
+            for index in 0..self.daemons.len() {
+                states.push(self.status(index).await);
+            }
+            if holds(&states) {
+                return start.elapsed();
+            }
+            assert!(start.elapsed() < PATIENCE, "not in time: {what}: {states:#?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until every daemon is a member and all slices of all services are served.
+    pub async fn until_settled(&self) -> Duration {
+        self.until("all slices served", |states| {
+            let served: u64 = states.iter().filter_map(|state| state["slices"].as_u64()).sum();
+            let members = |state: &Value| state["members"].as_array().map_or(0, Vec::len);
+            let owned: u64 = states[0]["members"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .filter_map(|member| member["owns"].as_u64())
+                .sum();
+            let moving = |state: &Value| {
+                let members = state["members"].as_array();
+                members.into_iter().flatten().any(|member| member["moving"] != 0)
+            };
+            let tables: Vec<_> = states.iter().map(|state| &state["table_version"]).collect();
+            states.iter().all(|state| members(state) == states.len() && !moving(state))
+                && tables.windows(2).all(|pair| pair[0] == pair[1])
+                && served == owned
+                && owned > 0
+        })
+        .await
+    }
+
+    /// Waits until every daemon knows that its configuration is current.
+    pub async fn until_fresh(&self) -> Duration {
+        self.until("fresh", |states| states.iter().all(|state| state["is_fresh"] == true)).await
+    }
+
+    /// Waits until a configuration version is in force on every daemon that answers.
+    pub async fn until_version(&self, version: u64) -> Duration {
+        self.until("the version in force", |states| {
+            let known = states.iter().filter(|state| !state.is_null());
+            known.map(|state| &state["config_version"]).all(|found| *found == version)
+        })
+        .await
+    }
+}
+
+impl Drop for Environment {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.settings).ok();
+    }
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -9,7 +9,7 @@
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Json, Path};
-use poem::{Body, EndpointExt, IntoResponse, Request, Response, Route, Server, get, handler, post};
+use poem::{Body, EndpointExt, Request, Response, Route, Server, get, handler, post};
 
 /// Time for which an overfed cold upstream refuses everything.
 const COLLAPSE: Duration = Duration::from_millis(1_000);
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -84,16 +84,18 @@
   # Tokens per second, in thousandths.
   rateMilli @1 :UInt64;
   burstMilli @2 :UInt64;
-  termMs @3 :UInt32;
+  # Wait until a token will be there, if none was.
+  waitMs @3 :UInt32;
+  freshMilli @4 :UInt64;
 }
 
 struct Demand {
   workspace @0 :Text;
   # Requests per second seen lately, in thousandths.
   rateMilli @1 :UInt64;
-  # Share still in force, in thousandths, and what is left of its term.
+  # Rate and depth of the share still in force, in thousandths.
   heldMilli @2 :UInt64;
-  heldMs @3 :UInt32;
+  heldDepthMilli @3 :UInt32;
   tokensMilli @4 :UInt64;
   daemon @5 :UInt64;
 }
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -4859,14 +4859,18 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_term_ms(self) -> u32 {
+        pub fn get_wait_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
+        #[inline]
+        pub fn get_fresh_milli(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4949,13 +4953,21 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_term_ms(self) -> u32 {
+        pub fn get_wait_ms(self) -> u32 {
             self.builder.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn set_term_ms(&mut self, value: u32)  {
+        pub fn set_wait_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
+        #[inline]
+        pub fn get_fresh_milli(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_fresh_milli(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4967,52 +4979,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(187, 124, 181, 240, 119, 5, 102, 197),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(120, 144, 230, 164, 210, 241, 197, 179),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 83, 104, 97),
             ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -5040,7 +5059,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 114, 109, 77, 115, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 77, 115, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5048,6 +5067,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 101, 115, 104, 77, 105, 108),
+            ::capnp::word(108, 105, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5055,6 +5083,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5068,9 +5097,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,1,3,0];
         pub(crate) const TYPE_ID: u64 = 0xc566_0577_f0b5_7cbb;
     }
 }
@@ -5153,7 +5182,7 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_held_ms(self) -> u32 {
+        pub fn get_held_depth_milli(self) -> u32 {
             self.reader.get_data_field::<u32>(4)
         }
         #[inline]
@@ -5251,11 +5280,11 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_held_ms(self) -> u32 {
+        pub fn get_held_depth_milli(self) -> u32 {
             self.builder.get_data_field::<u32>(4)
         }
         #[inline]
-        pub fn set_held_ms(&mut self, value: u32)  {
+        pub fn set_held_depth_milli(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(4, value);
         }
         #[inline]
@@ -5285,7 +5314,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(233, 128, 214, 193, 180, 96, 116, 144),
             ::capnp::word(13, 0, 0, 0, 1, 0, 5, 0),
@@ -5327,24 +5356,24 @@
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(119, 111, 114, 107, 115, 112, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -5372,7 +5401,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 101, 108, 100, 77, 115, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 68, 101, 112, 116),
+            ::capnp::word(104, 77, 105, 108, 108, 105, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5421,7 +5451,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,3,1,4,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,3,2,1,4,0];
         pub(crate) const TYPE_ID: u64 = 0x9074_60b4_c1d6_80e9;
     }
 }
