--- a/crates/ctl/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! placeholder
