--- /dev/null
+++ b/crates/daemon/tests/system/main.rs
@@ -0,0 +1,8 @@
+//! Sessions with real processes. They assert what must hold, never how fast the machine is.
+
+mod cases;
+mod configuration;
+mod once;
+mod ownership;
+mod path;
+mod zones;
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -170,8 +170,12 @@
     }
 }
 
+/// One environment at a time: others would take its processors and look like failures.
+static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// Stand-ins and daemons of one run.
 pub struct Environment {
+    _turn: tokio::sync::MutexGuard<'static, ()>,
     /// Address of the platform stand-in.
     pub platform: SocketAddr,
     /// The daemons, in the order they were started.
@@ -206,12 +210,14 @@
     /// # Panics
     /// It can't be started.
     pub async fn new() -> Environment {
+        let turn = TURN.lock().await;
         let any = ([127, 0, 0, 1], 0).into();
         let (platform, _) = platform::start(any).await.expect("a free port");
         let name = format!("cactushold-{}-{}", std::process::id(), platform.port());
         let settings = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&settings).expect("a folder for settings");
         Environment {
+            _turn: turn,
             platform,
             daemons: Vec::new(),
             http: Http::default(),
@@ -308,6 +314,27 @@
         }
     }
 
+    /// Sends a caller's request through a daemon.
+    ///
+    /// # Errors
+    /// No whole answer came.
+    pub async fn call(
+        &self,
+        index: usize,
+        workspace: &str,
+        request: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, String> {
+        let (method, path) = request.split_once(' ').unwrap_or(("GET", request));
+        let method = method.parse().map_err(|_| "not a method".to_owned())?;
+        let bearer = format!("Bearer {}", crate::shapes::Deployment::key(workspace));
+        let mut all = vec![("authorization", bearer.as_str())];
+        all.extend_from_slice(headers);
+        let address = self.daemons[index].callers;
+        self.http.send(method, address, path, &all, body.to_owned()).await
+    }
+
     /// State of a daemon; null if it doesn't answer.
     pub async fn status(&self, index: usize) -> Value {
         self.http.get_json(self.daemons[index].admin, "/status").await.unwrap_or_default()
--- a/crates/standin/src/shapes.rs
+++ b/crates/standin/src/shapes.rs
@@ -81,6 +81,19 @@
     ],
 };
 
+/// Five servers in three zones, for tests.
+pub const SMALL: Deployment = Deployment {
+    name: "small",
+    zones: ["a", "b", "c"],
+    services: &[
+        Service { name: "lookup", keyed: true, servers: 3 },
+        Service { name: "ruling", keyed: false, servers: 2 },
+    ],
+    slots: 12,
+    connections: 110,
+    workspaces: &[("club", 1_000.0), ("school", 1_000.0), ("tiny", 20.0)],
+};
+
 impl Deployment {
     /// Key of a workspace in this stand-in deployment.
     pub fn key(workspace: &str) -> String {
