Let an earlier owner take up an assignment that it never learned of

In one revision the leader gave a lost owner's slice to its successor and moved it on to the returned instance. The successor learned only the second step, held nothing, and so could not give the slice up to the claimant.

Ruled out: a lost claim (claims were repeated every 20 ms); a sponsor that would not acknowledge (the table was known everywhere); refusing two changes in one revision alone, since the two tables can also reach the successor as one.

Change: a settled assignment entitles its owner, so an earlier owner that has not yielded may take the slice up to give it up. Also: a slice knows the table version that first assigned it, so its first holder need not wait for loans or records of an earlier one; a view is swapped on every change of grants; the upstream stand-in tells the length of an answer that it cuts.

--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -57,6 +57,7 @@
     fresh: Cell<Option<Fresh>>,
     newest: Cell<Known>,
     granted: RefCell<HashMap<SliceId, Granted>>,
+    grant_changes: Cell<u64>,
     grants_under_way: RefCell<Vec<SliceId>>,
     drains: RefCell<HashMap<SliceId, Time>>,
     fetches: documents::Fetches,
@@ -75,8 +76,7 @@
     valid_until: Time,
     fresh_at: Option<Time>,
     leads: bool,
-    grants: usize,
-    newest_grant: Time,
+    grant_changes: u64,
 }
 
 impl Control {
@@ -94,6 +94,7 @@
             fresh: Cell::new(None),
             newest: Cell::default(),
             granted: RefCell::default(),
+            grant_changes: Cell::default(),
             grants_under_way: RefCell::default(),
             drains: RefCell::default(),
             fetches: documents::Fetches::default(),
@@ -137,6 +138,16 @@
         self.shared.guard().call_next(&self.config.borrow(), now);
     }
 
+    /// Changes the grants; a change is noticed by the next [`Control::publish`].
+    fn change_grants(&self, change: impl FnOnce(&mut HashMap<SliceId, Granted>)) {
+        let mut granted = self.granted.borrow_mut();
+        let before = granted.clone();
+        change(&mut granted);
+        if *granted != before {
+            self.grant_changes.set(self.grant_changes.get() + 1);
+        }
+    }
+
     /// Swaps the view if anything in it changed.
     fn publish(&self, now: Time) {
         let member = self.member.borrow();
@@ -151,8 +162,7 @@
             valid_until: member.as_ref().map_or(Time::ZERO, Member::valid_until),
             fresh_at: fresh.map(|fresh| fresh.at),
             leads,
-            grants: granted.len(),
-            newest_grant: granted.values().map(|grant| grant.acquired).max().unwrap_or_default(),
+            grant_changes: self.grant_changes.get(),
         };
         if self.published.get() == Some(signature) {
             return;
@@ -236,7 +246,9 @@
                 }
                 Command::Report(report) => self.leader.borrow_mut().note(report),
                 Command::Regrant(slice) => {
-                    self.granted.borrow_mut().remove(&slice);
+                    self.change_grants(|granted| {
+                        granted.remove(&slice);
+                    });
                 }
             }
         }
--- a/crates/daemon/src/control/registration.rs
+++ b/crates/daemon/src/control/registration.rs
@@ -64,7 +64,7 @@
             let id = self.register().await;
             log!(info, Event::Registered, incarnation = id);
             *self.member.borrow_mut() = Some(Member::new(id, Timing::default()));
-            self.granted.borrow_mut().clear();
+            self.change_grants(|granted| granted.clear());
             self.readopt_documents();
             self.until_removed().await;
             log!(warn, Event::Removed, incarnation = id);
--- a/crates/daemon/src/control/slices.rs
+++ b/crates/daemon/src/control/slices.rs
@@ -21,8 +21,8 @@
             let Some(member) = member.as_ref() else { return };
             (member.holdings().clone(), now < member.valid_until())
         };
-        self.granted.borrow_mut().retain(|slice, grant| {
-            held.get(slice).is_some_and(|holding| *holding == Holding::Serving(grant.fence))
+        self.change_grants(|granted| {
+            granted.retain(|slice, grant| held.get(slice) == Some(&Holding::Serving(grant.fence)));
         });
         for (slice, holding) in held {
             match holding {
@@ -80,10 +80,20 @@
             log!(info, Event::TakenOver, slice, since = fence.since);
         }
         let now = clock::now();
-        self.granted.borrow_mut().insert(slice, Granted { fence, acquired: now });
+        let acquired = if self.is_first_holder(slice, fence) { Time::ZERO } else { now };
+        self.change_grants(|granted| {
+            granted.insert(slice, Granted { fence, acquired });
+        });
         self.publish(now);
     }
 
+    /// Whether nobody held the slice before, so that no loan or record of it can exist elsewhere.
+    fn is_first_holder(&self, slice: SliceId, fence: Fence) -> bool {
+        let member = self.member.borrow();
+        let found = member.as_ref().and_then(|member| member.table().slice(slice));
+        fence.takeover == 0 && found.is_some_and(|slice| slice.born == fence.since)
+    }
+
     /// Once nothing runs in the slice, has the upstream confirm the revocation.
     fn drain(self: &Rc<Self>, slice: SliceId, now: Time) {
         // Workers must see that the slice is closed before its work is counted.
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -16,8 +16,8 @@
 
 /// How often a repeated request looks whether its first run has ended.
 const POLL_RECORD: Duration = Duration::from_millis(5);
-/// After a takeover, a key without a record may have run at the lost owner.
-const UNSURE_AFTER_TAKEOVER: Duration = crate::guard::table::KEEP_ANSWERS;
+/// After a change of owner, a key without a record may have run at an earlier one.
+const UNSURE_AFTER_CHANGE: Duration = crate::guard::table::KEEP_ANSWERS;
 
 /// Runs a request at the upstream, or tells truly that it did not run.
 pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
@@ -130,9 +130,8 @@
 
 /// Whether an earlier holder may have run what isn't recorded here.
 fn is_unsure(view: &View, slice: SliceId, now: Time) -> bool {
-    let after_takeover = view.fences.get(&slice).is_some_and(|fence| fence.takeover > 0);
     let acquired = view.acquired.get(&slice).copied().unwrap_or(now);
-    after_takeover && now < acquired + UNSURE_AFTER_TAKEOVER
+    acquired > Time::ZERO && now < acquired + UNSURE_AFTER_CHANGE
 }
 
 /// Records the end of a run, also when the caller goes away before it.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -31,7 +31,7 @@
     pub table: Arc<Table>,
     /// Slices that the upstream accepted a grant for, and their fences.
     pub fences: HashMap<SliceId, Fence>,
-    /// When each of them was acquired.
+    /// When each of them was acquired; zero if nobody held it before.
     pub acquired: HashMap<SliceId, Time>,
     /// The first moment at which none of them may be served.
     pub valid_until: Time,
--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -75,7 +75,22 @@
         {
             return Some(fence);
         }
-        self.as_earlier_successor(me, slice.id, slice.previous?, version)
+        let previous = slice.previous?;
+        self.as_earlier_owner(me, slice.id, previous)
+            .or_else(|| self.as_earlier_successor(me, slice.id, previous, version))
+    }
+
+    /// An earlier owner that never learned of its assignment takes it up, to be able to give it
+    /// up. Only settled assignments become earlier ones, so nobody else holds the slice unless
+    /// this owner's sponsors have released.
+    fn as_earlier_owner(
+        &self,
+        me: Incarnation,
+        slice: SliceId,
+        previous: Previous,
+    ) -> Option<Fence> {
+        let is_mine = previous.assignment.owner == me && !self.has_yielded(slice, previous);
+        is_mine.then_some(Fence { since: previous.assignment.since, takeover: 0 })
     }
 
     fn as_owner(&self, me: Incarnation, slice: &Slice) -> Option<Fence> {
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -33,6 +33,9 @@
     /// Slice that this one was split from.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub parent: Option<SliceId>,
+    /// Table version that first assigned the slice; nobody held it before.
+    #[serde(default)]
+    pub born: TableVersion,
     /// First key hash of the range; it ends where the next slice of the service starts.
     pub start: u64,
     /// Assignment in force.
@@ -138,10 +141,11 @@
     pub fn add_slice(&mut self, service: &str, start: u64, owner: Incarnation, next: Incarnation) {
         let id = self.next_slice;
         self.next_slice += 1;
-        let current = Assignment { owner, successor: next, since: self.version };
+        let born = self.version;
+        let current = Assignment { owner, successor: next, since: born };
         let slices = self.services.entry(service.to_owned()).or_default();
         let at = slices.partition_point(|slice| slice.start < start);
-        slices.insert(at, Slice { id, parent: None, start, current, previous: None });
+        slices.insert(at, Slice { id, parent: None, born, start, current, previous: None });
     }
 
     /// Splits a slice at `start`; the new part keeps the assignment.
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -392,11 +392,31 @@
             if holds(&states) {
                 return start.elapsed();
             }
-            assert!(start.elapsed() < PATIENCE, "not in time: {what}: {states:#?}");
+            assert!(start.elapsed() < PATIENCE, "not in time: {what}: {}", self.summary(&states));
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 
+    /// A line for each daemon.
+    fn summary(&self, states: &[Value]) -> String {
+        let lines = states.iter().zip(&self.daemons).map(|(state, daemon)| {
+            let members = state["members"].as_array().into_iter().flatten().map(|member| {
+                format!("{}:{}/{}", member["instance"], member["owns"], member["moving"])
+            });
+            format!(
+                "\n{} incarnation {} serves {} table {} config {} fresh {}: {}",
+                daemon.name,
+                state["incarnation"],
+                state["slices"],
+                state["table_version"],
+                state["config_version"],
+                state["is_fresh"],
+                members.collect::<Vec<_>>().join(" ")
+            )
+        });
+        lines.collect()
+    }
+
     /// Waits until every daemon is a member and all slices of all services are served.
     pub async fn until_settled(&self) -> Duration {
         self.until("all slices served", |states| {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -266,7 +266,10 @@
     if truncate {
         pieces.push(Err(std::io::Error::other("cut")));
     }
-    Response::builder().body(Body::from_bytes_stream(futures_stream(pieces)))
+    // With the length told, an early end is a cut and not the end.
+    Response::builder()
+        .header("content-length", size)
+        .body(Body::from_bytes_stream(futures_stream(pieces)))
 }
 
 fn futures_stream(
