--- a/crates/lease/tests/world/deviation.rs
+++ b/crates/lease/tests/world/deviation.rs
@@ -27,9 +27,6 @@
 }
 
 impl Deviation {
-    /// Sees what leaves a machine; no fake changes that.
-    pub fn outgoing(self, _envelope: &Envelope) {}
-
     /// Replaces a message that is about to arrive.
     pub fn incoming(
         self,
--- a/crates/lease/tests/world/mod.rs
+++ b/crates/lease/tests/world/mod.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use cactushold_lease::{
-    Envelope, Fence, Grant, Holding, Incarnation, Member, Message, Peer, Replica, Report, SliceId,
-    Table, Time, Timing,
+    Envelope, Fence, Grant, Holding, Incarnation, Member, Peer, Replica, Report, SliceId, Table,
+    Time, Timing,
 };
 
 pub use action::Action;
@@ -39,7 +39,6 @@
     next: Incarnation,
     highest: BTreeMap<SliceId, (Fence, Incarnation)>,
     pub deviation: Deviation,
-    pub log: String,
     pub seen: Seen,
 }
 
@@ -69,7 +68,6 @@
             next: nodes as Incarnation + 1,
             highest: BTreeMap::new(),
             deviation,
-            log: String::new(),
             seen: Seen::default(),
         };
         world.table.begin();
@@ -144,7 +142,6 @@
 
     fn post(&mut self, out: Vec<Envelope>) {
         for envelope in out {
-            self.deviation.outgoing(&envelope);
             self.pending.push(envelope);
         }
         let excess = self.pending.len().saturating_sub(300);
@@ -383,8 +380,3 @@
         line
     }
 }
-
-/// Whether a message is a renewal, for the deviations.
-pub fn is_renewal(message: &Message) -> bool {
-    matches!(message, Message::Renew { .. })
-}
