--- a/crates/attempt/src/balance.rs
+++ b/crates/attempt/src/balance.rs
@@ -8,8 +8,13 @@
 const RISE: f64 = 0.5;
 /// A failed attempt counts as a latency of this much.
 const FAILURE_COST: Duration = Duration::from_millis(250);
-/// After this long without a sample, an average is half forgotten, so that stragglers are probed.
+/// Added to each latency, in seconds, so that requests under way count at once.
+const LEAST_COST_S: f64 = 1e-4;
+/// After this long without a sample, an average is half forgotten, so that stragglers are probed
+/// by requests that can be hedged.
 const HALF_LIFE: Duration = Duration::from_millis(400);
+/// The same for requests that can't be hedged: they leave probing to others.
+const CAUTIOUS_HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// What an ingress has seen of one upstream.
 #[derive(Clone, Debug, Default)]
@@ -29,7 +34,7 @@
     pub fn ended(&mut self, latency: Duration, failed: bool, now: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let sample = if failed { latency.max(FAILURE_COST) } else { latency }.as_secs_f64();
-        let old = self.latency(now);
+        let old = self.latency(now, HALF_LIFE);
         let weight = if sample > old { RISE } else { FALL };
         self.latency_s = if old == 0.0 { sample } else { old + weight * (sample - old) };
         self.sampled_at = now;
@@ -37,7 +42,7 @@
 
     /// Notes an attempt that was given up; tells that the upstream took at least `elapsed`.
     pub fn abandoned(&mut self, elapsed: Duration, now: Duration) {
-        let slower = elapsed.as_secs_f64() > self.latency(now);
+        let slower = elapsed.as_secs_f64() > self.latency(now, HALF_LIFE);
         if slower {
             self.ended(elapsed, false, now);
         } else {
@@ -50,14 +55,15 @@
         self.in_flight
     }
 
-    fn latency(&self, now: Duration) -> f64 {
+    fn latency(&self, now: Duration, half_life: Duration) -> f64 {
         let idle = now.saturating_sub(self.sampled_at).as_secs_f64();
-        self.latency_s * 0.5_f64.powf(idle / HALF_LIFE.as_secs_f64())
+        self.latency_s * 0.5_f64.powf(idle / half_life.as_secs_f64())
     }
 
     /// Expected cost of one more attempt, in seconds.
-    pub fn cost(&self, now: Duration) -> f64 {
-        (self.latency(now) + 1e-4) * f64::from(self.in_flight + 1)
+    pub fn cost(&self, may_probe: bool, now: Duration) -> f64 {
+        let half_life = if may_probe { HALF_LIFE } else { CAUTIOUS_HALF_LIFE };
+        (self.latency(now, half_life) + LEAST_COST_S) * f64::from(self.in_flight + 1)
     }
 }
 
@@ -76,6 +82,7 @@
 
 impl Choice {
     /// Picks the cheaper of two random candidates, and the local one when they are about equal.
+    /// `may_probe` tells whether the request can be hedged, should the choice be slow.
     ///
     /// ```
     /// use cactushold_attempt::{Candidate, Choice, Score};
@@ -86,10 +93,11 @@
     /// quick.ended(Duration::from_millis(3), false, now);
     /// let candidates = [&slow, &quick].map(|score| Candidate { score, is_local: false });
     /// let mut random = fastrand::Rng::with_seed(1);
-    /// assert_eq!(Choice::pick(&candidates, now, &mut random), Some(1));
+    /// assert_eq!(Choice::pick(&candidates, true, now, &mut random), Some(1));
     /// ```
     pub fn pick(
         candidates: &[Candidate<'_>],
+        may_probe: bool,
         now: Duration,
         random: &mut fastrand::Rng,
     ) -> Option<usize> {
@@ -99,17 +107,22 @@
             count => {
                 let first = random.usize(..count);
                 let second = (first + random.usize(1..count)) % count;
-                Some(Choice::better(candidates, first, second, now))
+                Some(Choice::better(
+                    [(first, candidates[first]), (second, candidates[second])],
+                    may_probe,
+                    now,
+                ))
             }
         }
     }
 
-    fn better(candidates: &[Candidate<'_>], a: usize, b: usize, now: Duration) -> usize {
+    fn better(pair: [(usize, Candidate<'_>); 2], may_probe: bool, now: Duration) -> usize {
         const ABOUT_EQUAL: f64 = 1.25;
-        let (cost_a, cost_b) = (candidates[a].score.cost(now), candidates[b].score.cost(now));
+        let [(a, first), (b, second)] = pair;
+        let [cost_a, cost_b] = [first, second].map(|found| found.score.cost(may_probe, now));
         let close = cost_a < cost_b * ABOUT_EQUAL && cost_b < cost_a * ABOUT_EQUAL;
-        if close && candidates[a].is_local != candidates[b].is_local {
-            return if candidates[a].is_local { a } else { b };
+        if close && first.is_local != second.is_local {
+            return if first.is_local { a } else { b };
         }
         if cost_a <= cost_b { a } else { b }
     }
--- a/crates/attempt/src/kind.rs
+++ b/crates/attempt/src/kind.rs
@@ -113,6 +113,8 @@
     BadAnswer = 23, 502, Unknown, Check, "bad-answer";
     /// The answer to the first run can't be repeated any more.
     AnswerGone = 24, 409, Yes, Correct, "answer-gone";
+    /// The connection to the other daemon was lost or went silent after the request was sent.
+    LinkLost = 25, 502, Unknown, Check, "link-lost";
 }
 
 impl Kind {
@@ -139,6 +141,7 @@
                 | Kind::Shed
                 | Kind::Unreachable
                 | Kind::Broken
+                | Kind::LinkLost
                 | Kind::NotReady
         )
     }
--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -10,7 +10,7 @@
 pub use crate::{
     balance::{Candidate, Choice, Score},
     budget::Budget,
-    idempotency::{Entry, Recorded, Records},
+    idempotency::{Entry, Recorded, Records, created_at},
     kind::{Advice, Kind, Ran},
     percentile::Percentile,
     retry::{Backoff, Phase, Verdict, may_retry},
--- a/crates/attempt/tests/rules.rs
+++ b/crates/attempt/tests/rules.rs
@@ -49,7 +49,8 @@
         now += Duration::from_millis(1);
         let candidates: Vec<Candidate<'_>> =
             scores.iter().map(|score| Candidate { score, is_local: false }).collect();
-        let chosen = Choice::pick(&candidates, now, &mut random).expect("three candidates");
+        let chosen =
+            Choice::pick(&candidates, step % 2 == 0, now, &mut random).expect("three candidates");
         let is_slow = chosen == 0 && step < 3_000;
         let latency = Duration::from_millis(if is_slow { 90 } else { 3 });
         scores[chosen].sent();
@@ -60,17 +61,17 @@
     }
     assert!(counts[0] < 60, "the straggler got {counts:?} of 2,000");
     assert!(counts[0] > 0, "and is still probed");
-    assert!(scores[0].cost(now) < 0.02, "and has recovered: {}", scores[0].cost(now));
+    assert!(scores[0].cost(true, now) < 0.02, "and has recovered: {}", scores[0].cost(true, now));
 }
 
 #[test]
 fn an_idempotency_key_survives_every_end_of_its_first_run() {
     let now = Duration::from_secs(1);
     let mut records: Records<u32> = Records::new(Duration::from_secs(600), 10);
-    assert_eq!(records.begin("k", 1, now), Recorded::Fresh);
+    assert_eq!(records.begin("k", 0, 1, now), Recorded::Fresh);
     records.end("k", Recorded::Unknown, now);
-    assert_eq!(records.begin("k", 1, now), Recorded::Unknown, "it is never run again");
-    assert_eq!(records.begin("l", 1, now), Recorded::Fresh);
+    assert_eq!(records.begin("k", 0, 1, now), Recorded::Unknown, "it is never run again");
+    assert_eq!(records.begin("l", 0, 1, now), Recorded::Fresh);
     records.end("l", Recorded::Fresh, now);
-    assert_eq!(records.begin("l", 1, now), Recorded::Fresh, "it surely did not run");
+    assert_eq!(records.begin("l", 0, 1, now), Recorded::Fresh, "it surely did not run");
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -25,6 +25,9 @@
     pub peers: SocketAddr,
     /// Operators' HTTP: status, metrics, patches.
     pub admin: SocketAddr,
+    /// Address by which other daemons reach `peers`, if it is another one.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
 }
 
 /// The platform's object API.
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -14,3 +14,9 @@
 pub fn instant(time: Time) -> tokio::time::Instant {
     tokio::time::Instant::now() + time.saturating_sub(now())
 }
+
+/// The present time since the Unix epoch, to compare with times that callers made.
+pub fn since_epoch() -> Duration {
+    let elapsed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    elapsed.unwrap_or_default()
+}
--- a/crates/daemon/src/control/heartbeat.rs
+++ b/crates/daemon/src/control/heartbeat.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    fn address_of(&self, id: Incarnation) -> Option<SocketAddr> {
+    pub(super) fn address_of(&self, id: Incarnation) -> Option<SocketAddr> {
         let member = self.member.borrow();
         member.as_ref()?.table().members.get(&id).map(|member| member.peer.address)
     }
@@ -76,7 +76,9 @@
         if datagram.to != self.id() && datagram.to != 0 {
             return;
         }
-        self.note_known(datagram.known, source);
+        // A datagram may come from another address than the one that takes calls.
+        let sender = self.address_of(datagram.from).unwrap_or(source);
+        self.note_known(datagram.known, sender);
         match &datagram.body {
             Body::Probe(sent) => {
                 self.send(datagram.from, source, self.known(), Body::Probed(*sent));
@@ -132,7 +134,7 @@
         let table = member.as_ref().map(|member| member.table());
         let control = table.and_then(|table| table.locate(cactushold_placement::CONTROL, 0));
         let holders = control.map(|slice| slice.possible_holders()).unwrap_or_default();
-        let own = self.shared.addresses.peers;
+        let own = self.shared.addresses.advertised;
         let known: Vec<SocketAddr> = holders
             .iter()
             .filter_map(|id| Some(table?.members.get(id)?.peer.address))
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactushold_lease::{Incarnation, Peer, Report, Table};
+use cactushold_lease::{Incarnation, Known, Peer, Report, Table};
 use cactushold_placement::{View, revise};
 use cactushold_platform::{Error, Expected, Listing, Pacer, Revision, Stored};
 
@@ -29,6 +29,14 @@
 /// Prefix of the instances' objects.
 pub(super) const INSTANCES: &str = "instances/";
 
+/// What a revision depends on; without a change in it there is nothing to revise.
+#[derive(Clone, PartialEq, Eq)]
+struct Inputs {
+    known: Known,
+    changes: u64,
+    stopped: usize,
+}
+
 /// What only the leader knows.
 #[derive(Default)]
 pub(super) struct Leader {
@@ -37,6 +45,8 @@
     reports: BTreeMap<Incarnation, Report>,
     registered: BTreeMap<String, (Incarnation, Peer)>,
     is_listed: bool,
+    changes: u64,
+    revised: Option<Inputs>,
     /// Version of the table's object, once it was read.
     pub(super) table: Option<Expected>,
     /// Version of the configuration's object, once it was read.
@@ -46,6 +56,7 @@
 impl Leader {
     /// Takes a member's report.
     pub(super) fn note(&mut self, report: Report) {
+        self.changes += 1;
         self.reports.insert(report.member, report);
     }
 
@@ -55,6 +66,7 @@
             let Some((id, registration)) = Registration::read(object) else { continue };
             self.registered.insert(registration.instance.clone(), (id, registration.peer()));
         }
+        self.changes += u64::from(!listing.objects.is_empty());
         self.is_listed = true;
     }
 
@@ -67,6 +79,7 @@
     pub(super) fn desync(&mut self) {
         self.table = None;
         self.config = None;
+        self.revised = None;
     }
 
     /// Incarnations of the table that are proven gone by a newer one of the same instance.
@@ -210,6 +223,12 @@
         let table = {
             let member = self.member.borrow();
             let Some(member) = member.as_ref() else { return Ok(()) };
+            let changes = self.leader.borrow().changes;
+            let inputs = Inputs { known: member.known(), changes, stopped: member.stopped() };
+            if self.leader.borrow().revised.as_ref() == Some(&inputs) {
+                return Ok(());
+            }
+            self.leader.borrow_mut().revised = Some(inputs);
             std::sync::Arc::clone(member.table())
         };
         let mut base = (*table).clone();
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: membership, leases, documents, leadership. Requests never run here.
 
 mod documents;
+mod handover;
 mod heartbeat;
 mod leader;
 mod patches;
@@ -23,6 +24,7 @@
 use tokio::sync::mpsc;
 
 use crate::event::Event;
+use crate::guard::Unsure;
 use crate::peer::Links;
 use crate::shared::{Command, Shared, View};
 use crate::upstream::Upstream;
@@ -58,6 +60,9 @@
     newest: Cell<Known>,
     granted: RefCell<HashMap<SliceId, Granted>>,
     grant_changes: Cell<u64>,
+    unsure_until: RefCell<Unsure>,
+    /// Fences whose earlier holders were asked for records.
+    prepared: RefCell<HashMap<SliceId, Fence>>,
     grants_under_way: RefCell<Vec<SliceId>>,
     drains: RefCell<HashMap<SliceId, Time>>,
     fetches: documents::Fetches,
@@ -95,6 +100,8 @@
             newest: Cell::default(),
             granted: RefCell::default(),
             grant_changes: Cell::default(),
+            unsure_until: RefCell::default(),
+            prepared: RefCell::default(),
             grants_under_way: RefCell::default(),
             drains: RefCell::default(),
             fetches: documents::Fetches::default(),
@@ -174,6 +181,7 @@
             table,
             fences: granted.iter().map(|(slice, grant)| (*slice, grant.fence)).collect(),
             acquired: granted.iter().map(|(slice, grant)| (*slice, grant.acquired)).collect(),
+            unsure_until: self.unsure_until.borrow().clone(),
             valid_until: signature.valid_until,
             fresh_at: signature.fresh_at,
             leads,
@@ -245,6 +253,11 @@
                     });
                 }
                 Command::Report(report) => self.leader.borrow_mut().note(report),
+                Command::HasGivenUp(slice, since, answer) => {
+                    let member = self.member.borrow();
+                    let given = member.as_ref().is_some_and(|m| m.has_given_up(slice, since));
+                    answer.send(given).ok();
+                }
                 Command::Regrant(slice) => {
                     self.change_grants(|granted| {
                         granted.remove(&slice);
--- a/crates/daemon/src/control/registration.rs
+++ b/crates/daemon/src/control/registration.rs
@@ -140,7 +140,7 @@
             instance: instance.name.clone(),
             zone: instance.zone.clone(),
             service: instance.service.clone(),
-            address: self.shared.addresses.peers,
+            address: self.shared.addresses.advertised,
             admin: self.shared.addresses.admin,
             leaving: self.shared.is_leaving(),
         };
--- a/crates/daemon/src/control/slices.rs
+++ b/crates/daemon/src/control/slices.rs
@@ -21,6 +21,7 @@
             let Some(member) = member.as_ref() else { return };
             (member.holdings().clone(), now < member.valid_until())
         };
+        self.expire_doubts(now);
         self.change_grants(|granted| {
             granted.retain(|slice, grant| held.get(slice) == Some(&Holding::Serving(grant.fence)));
         });
@@ -47,15 +48,18 @@
         if self.granted.borrow().contains_key(&slice) {
             return;
         }
-        if self.is_reserved(slice) {
-            self.note_granted(slice, fence);
-            return;
-        }
         if !self.begin(slice) {
             return;
         }
+        let is_reserved = self.is_reserved(slice);
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
+            control.take_over_records(slice, fence).await;
+            if is_reserved {
+                control.note_granted(slice, fence);
+                control.end(slice);
+                return;
+            }
             let expires = control.member.borrow().as_ref().map_or(Time::ZERO, Member::valid_until);
             match control.upstream.grant(slice, fence, expires).await {
                 Ok(()) => control.note_granted(slice, fence),
@@ -88,7 +92,7 @@
     }
 
     /// Whether nobody held the slice before, so that no loan or record of it can exist elsewhere.
-    fn is_first_holder(&self, slice: SliceId, fence: Fence) -> bool {
+    pub(super) fn is_first_holder(&self, slice: SliceId, fence: Fence) -> bool {
         let member = self.member.borrow();
         let found = member.as_ref().and_then(|member| member.table().slice(slice));
         fence.takeover == 0 && found.is_some_and(|slice| slice.born == fence.since)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -65,6 +65,7 @@
     let addresses = Addresses {
         callers: local_address(&callers)?,
         peers: local_address(&peers)?,
+        advertised: settings.listen.advertise.map_or_else(|| local_address(&peers), Ok)?,
         admin: admin.local_addr()?,
     };
     Ok(Sockets { addresses, datagrams, admin, _reserved: [callers, peers] })
@@ -100,7 +101,7 @@
 }
 
 fn tell_addresses(shared: &Shared) {
-    let Addresses { callers, peers, admin } = shared.addresses;
+    let Addresses { callers, peers, admin, .. } = shared.addresses;
     log!(info, Event::Listening, callers = %callers, peers = %peers, admin = %admin);
 }
 
--- a/crates/daemon/src/guard/mod.rs
+++ b/crates/daemon/src/guard/mod.rs
@@ -1,7 +1,13 @@
 //! The guard: the only way to the upstream beside this daemon.
 
+mod handover;
 mod permit;
 mod serve;
 mod table;
 
-pub use self::{permit::Permit, serve::serve, table::Guard};
+pub use self::{
+    handover::{Handover, Unsure},
+    permit::Permit,
+    serve::serve,
+    table::{Guard, KEEP_ANSWERS},
+};
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_attempt::{Kind, Recorded as State};
+use cactushold_attempt::{Kind, Recorded as State, created_at};
 use cactushold_lease::{Fence, SliceId, Time};
 use cactushold_placement::hash_key;
 
@@ -16,8 +16,8 @@
 
 /// How often a repeated request looks whether its first run has ended.
 const POLL_RECORD: Duration = Duration::from_millis(5);
-/// After a change of owner, a key without a record may have run at an earlier one.
-const UNSURE_AFTER_CHANGE: Duration = crate::guard::table::KEEP_ANSWERS;
+/// How far callers' clocks may be off.
+const CLOCK_SKEW: Duration = Duration::from_secs(2);
 
 /// Runs a request at the upstream, or tells truly that it did not run.
 pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
@@ -91,7 +91,7 @@
         if clock::now() >= request.deadline {
             return Err(Refusal::new(Kind::TimedOut).with_detail("the first run goes on"));
         }
-        let state = begin(shared, request, &name, fingerprint)?;
+        let state = begin(shared, request, key, &name, fingerprint)?;
         match state {
             State::Fresh => break,
             State::Running => tokio::time::sleep(POLL_RECORD).await,
@@ -110,6 +110,7 @@
 fn begin(
     shared: &Arc<Shared>,
     request: &Request,
+    key: &str,
     name: &str,
     fingerprint: u64,
 ) -> Result<State<Recorded>, Refusal> {
@@ -120,18 +121,25 @@
     if !guard.records.has_room() {
         return Err(Refusal::new(Kind::QueueFull).with_detail("too many Idempotency-Keys"));
     }
-    let state = guard.records.begin(name, fingerprint, now);
-    if state == State::Fresh && slice.is_some_and(|slice| is_unsure(&view, slice, now)) {
+    let position = request.key.unwrap_or_default();
+    let state = guard.records.begin(name, position, fingerprint, now);
+    let is_unsure = slice.is_some_and(|slice| is_unsure(&view, slice, key, now));
+    if state == State::Fresh && is_unsure {
         guard.records.end(name, State::Unknown, now);
         return Ok(State::Unknown);
     }
     Ok(state)
 }
 
-/// Whether an earlier holder may have run what isn't recorded here.
-fn is_unsure(view: &View, slice: SliceId, now: Time) -> bool {
+/// Whether an earlier holder may have run what isn't recorded here. A key that was surely made
+/// after the slice was acquired can't have been used before.
+fn is_unsure(view: &View, slice: SliceId, key: &str, now: Time) -> bool {
+    let Some(until) = view.unsure_until.get(&slice) else { return false };
     let acquired = view.acquired.get(&slice).copied().unwrap_or(now);
-    acquired > Time::ZERO && now < acquired + UNSURE_AFTER_CHANGE
+    let held_for = now.saturating_sub(acquired);
+    let acquired_at = clock::since_epoch().saturating_sub(held_for);
+    let is_newer = created_at(key).is_some_and(|made| made > acquired_at + CLOCK_SKEW);
+    now < *until && !is_newer
 }
 
 /// Records the end of a run, also when the caller goes away before it.
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -14,6 +14,8 @@
 
 /// Pauses between attempts.
 const BACKOFF: Backoff = Backoff { base: Duration::from_millis(4), cap: Duration::from_millis(40) };
+/// Failures of a request up to which a lost connection costs no budget.
+const MAX_FREE_LOSSES: u32 = 2;
 /// Attempts under way at a time.
 const MAX_PARALLEL: usize = 2;
 
@@ -131,7 +133,11 @@
     }
 
     fn hedge_delay(&self, running: usize) -> Option<Duration> {
-        let may = self.request.idempotent && !self.hedged && running > 0 && running < MAX_PARALLEL;
+        // A keyed request can run in one place only.
+        let may = self.request.idempotent
+            && self.request.key.is_none()
+            && !self.hedged
+            && (1..MAX_PARALLEL).contains(&running);
         may.then(|| self.worker.latency.borrow_mut().high())
     }
 
@@ -157,9 +163,14 @@
         self.pause(kind)
     }
 
-    /// A misdirected request costs no upstream anything and is free; others need the budget.
+    /// A misdirected request costs no upstream anything and is free, as is the loss of a
+    /// connection for each request on it; others need the budget.
     fn pause(&mut self, kind: Kind) -> Step {
-        let is_free = matches!(kind, Kind::NotOwner | Kind::Unreachable | Kind::Draining);
+        let is_free = match kind {
+            Kind::NotOwner | Kind::Unreachable | Kind::Draining => true,
+            Kind::LinkLost => self.failures <= MAX_FREE_LOSSES,
+            _ => false,
+        };
         if !is_free && !self.worker.budget.borrow_mut().spend() {
             return Step::Finish(Box::new(Err(self.last.clone())));
         }
@@ -205,10 +216,11 @@
     let mut call = link.peer.forward_request();
     peer::write_request(call.get().init_request(), request, clock::now());
     let open = link.start();
+    let lost = |error: capnp::Error| Refusal::new(Kind::LinkLost).with_detail(error.to_string());
     let broken = |error: capnp::Error| Refusal::new(Kind::Broken).with_detail(error.to_string());
     let results = tokio::select! {
-        results = call.send().promise => results.map_err(broken)?,
-        () = link.lost() => return Err(Refusal::new(Kind::Broken).with_detail("connection lost")),
+        results = call.send().promise => results.map_err(lost)?,
+        () = link.lost() => return Err(Refusal::new(Kind::LinkLost)),
     };
     open.answered();
     let results = results.get().map_err(broken)?;
--- a/crates/daemon/src/ingress/rate.rs
+++ b/crates/daemon/src/ingress/rate.rs
@@ -9,13 +9,11 @@
 
 use crate::clock;
 use crate::exchange::Refusal;
-use crate::peer_quota::{self, Token};
-use crate::quota::Spend;
+use crate::peer_quota;
+use crate::quota::{Spend, Token};
 use crate::shared::View;
 use crate::worker::Worker;
 
-/// A token that will be there this soon is waited for, once.
-const WORTH_WAITING: Duration = Duration::from_millis(100);
 /// Pause before a bucket's owner is looked for again.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -33,27 +31,25 @@
 }
 
 async fn ask(worker: &Rc<Worker>, workspace: &str, deadline: Time) -> Result<(), Refusal> {
-    let mut has_waited = false;
     loop {
         let token = ask_owners(worker, workspace).await;
         let now = clock::now();
-        let pause = match token {
-            Some(Token::Taken) => return Ok(()),
-            Some(Token::None(wait)) if has_waited || wait > WORTH_WAITING => {
+        match token {
+            Some(Ok(wait)) if now + wait >= deadline => return Err(Refusal::new(Kind::Expired)),
+            Some(Ok(wait)) => {
+                tokio::time::sleep(wait).await;
+                return Ok(());
+            }
+            Some(Err(wait)) => {
                 worker.shared.quota().refused(workspace, wait, now);
                 return Err(over_rate(wait));
             }
-            Some(Token::None(wait)) => {
-                has_waited = true;
-                wait
+            None if now + PAUSE >= deadline => {
+                let refusal = Refusal::new(Kind::NoOwner);
+                return Err(refusal.with_detail("the workspace's rate has no owner now"));
             }
-            None => PAUSE,
-        };
-        if now + pause >= deadline {
-            let refusal = Refusal::new(Kind::NoOwner);
-            return Err(refusal.with_detail("the workspace's rate has no owner now"));
+            None => tokio::time::sleep(PAUSE).await,
         }
-        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/daemon/src/ingress/targets.rs
+++ b/crates/daemon/src/ingress/targets.rs
@@ -12,6 +12,7 @@
     owners: Vec<Incarnation>,
     turn: usize,
     tried: Vec<Incarnation>,
+    may_probe: bool,
 }
 
 impl Targets {
@@ -25,7 +26,8 @@
                 owners.push(owner);
             }
         }
-        Targets { slice: slice.map(|slice| slice.id), owners, turn: 0, tried: Vec::new() }
+        let slice = slice.map(|slice| slice.id);
+        Targets { slice, owners, turn: 0, tried: Vec::new(), may_probe: request.idempotent }
     }
 
     /// The next daemon to try.
@@ -100,7 +102,7 @@
                 is_local: view.table.members.get(id).is_some_and(|m| m.peer.zone == *zone),
             })
             .collect();
-        Choice::pick(&candidates, now, random).map(|at| ids[at])
+        Choice::pick(&candidates, self.may_probe, now, random).map(|at| ids[at])
     }
 }
 
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_lease::Report;
+use cactushold_lease::{Report, SliceId};
 use cactushold_placement::{QUOTA, hash_key};
 use cactushold_quota::{Demand, Loan};
 use cactushold_wire::schema::{Document, body, peer, share};
@@ -14,8 +14,9 @@
 use tokio::sync::oneshot;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
+use crate::guard::Handover;
 use crate::peer::convert;
-use crate::quota::Owned;
+use crate::quota::{Owned, Token};
 use crate::shared::{Command, Shared, View};
 use crate::upstream::{Stream, Upstream};
 use crate::{clock, guard};
@@ -141,6 +142,30 @@
         Ok(())
     }
 
+    async fn records(
+        self: Rc<Self>,
+        params: peer::RecordsParams,
+        mut results: peer::RecordsResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let slice = params.get_slice();
+        let (sender, answer) = oneshot::channel();
+        let question = Command::HasGivenUp(slice, params.get_since(), sender);
+        self.shared.commands.send(question).ok();
+        if answer.await != Ok(true) {
+            return Ok(());
+        }
+        let view = self.shared.view();
+        let mut handover = Handover::collect(&self.shared.guard(), &view, slice, clock::now());
+        if let Some(handover) = &mut handover {
+            let is_moved = |name: &str| is_bucket_of(&view, name, slice);
+            handover.buckets = self.shared.quota().export(is_moved, clock::now());
+        }
+        let content = serde_json::to_vec(&handover.unwrap_or_default());
+        results.get().set_content(&content.map_err(|e| capnp::Error::failed(e.to_string()))?);
+        Ok(())
+    }
+
     async fn share(
         self: Rc<Self>,
         params: peer::ShareParams,
@@ -183,28 +208,37 @@
 
 enum Answer {
     Loan(Loan),
-    Token(Result<(), Duration>),
+    Token(Token),
 }
 
 impl Answer {
     fn write(self, mut out: share::Builder<'_>) {
         match self {
             Answer::Loan(loan) => {
-                out.set_rate_milli((loan.rate * MILLI) as u64);
-                out.set_burst_milli((loan.depth * MILLI) as u64);
+                out.set_rate_milli((loan.rate * MILLI).round() as u64);
+                out.set_burst_milli((loan.depth * MILLI).round() as u64);
                 out.set_fresh_milli((loan.fresh * MILLI) as u64);
             }
-            Answer::Token(Ok(())) => out.set_fresh_milli(MILLI as u64),
+            Answer::Token(Ok(wait)) => {
+                out.set_fresh_milli(MILLI as u64);
+                out.set_wait_ms(wait.as_millis() as u32);
+            }
             Answer::Token(Err(wait)) => out.set_wait_ms(wait.as_millis() as u32 + 1),
         }
     }
 }
 
+fn is_bucket_of(view: &View, workspace: &str, slice: SliceId) -> bool {
+    let found = view.table.locate(QUOTA, hash_key(workspace.as_bytes()));
+    found.is_some_and(|found| found.id == slice)
+}
+
 /// Proof that a workspace's bucket is owned here now.
 pub fn owned<'a>(view: &'a View, workspace: &str) -> Option<Owned<'a>> {
     let now = clock::now();
     let slice = view.table.locate(QUOTA, hash_key(workspace.as_bytes()))?.id;
     let fence = view.fence(slice, now)?;
     let acquired = view.acquired.get(&slice).copied()?;
-    Some(Owned { fence, acquired, config: &view.config, now })
+    let valid_until = view.valid_until;
+    Some(Owned { fence, acquired, valid_until, config: &view.config, now })
 }
--- a/crates/daemon/src/peer_quota.rs
+++ b/crates/daemon/src/peer_quota.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::ingress::owners;
 use crate::peer::{Links, owned};
-use crate::quota::Due;
+use crate::quota::{Due, Token};
 use crate::shared::Shared;
 use crate::worker::Worker;
 
@@ -23,22 +23,13 @@
 /// Thousandths in a whole.
 const MILLI: f64 = 1_000.0;
 
-/// An owner's answer to a request for one token.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Token {
-    /// The request may run.
-    Taken,
-    /// There is none before this time has passed.
-    None(Duration),
-}
-
 /// Asks a bucket's owner for one token; nothing if it isn't the owner or can't be reached.
 pub async fn take_token(worker: &Rc<Worker>, owner: Incarnation, workspace: &str) -> Option<Token> {
     let shared = &worker.shared;
     let view = shared.view();
     if owner == view.id {
         let taken = shared.quota().take(workspace, owned(&view, workspace)?)?;
-        return Some(taken.map_or_else(Token::None, |()| Token::Taken));
+        return Some(taken);
     }
     let address = view.table.members.get(&owner)?.peer.address;
     let link = worker.links.get(address).await.ok()?;
@@ -53,7 +44,7 @@
     let share = shares.iter().next()?;
     let is_taken = share.get_fresh_milli() > 0;
     let wait = Duration::from_millis(share.get_wait_ms().into());
-    Some(if is_taken { Token::Taken } else { Token::None(wait) })
+    Some(if is_taken { Ok(wait) } else { Err(wait) })
 }
 
 /// Renews all shares in use, for as long as the daemon runs.
@@ -95,8 +86,8 @@
         let mut demand = demands.reborrow().get(at as u32);
         demand.set_workspace(&due.workspace);
         demand.set_rate_milli((due.demand.rate * MILLI) as u64);
-        demand.set_held_milli((due.demand.held.rate * MILLI) as u64);
-        demand.set_held_depth_milli((due.demand.held.depth * MILLI) as u32);
+        demand.set_held_milli((due.demand.held.rate * MILLI).round() as u64);
+        demand.set_held_depth_milli((due.demand.held.depth * MILLI).round() as u32);
         demand.set_daemon(view.id);
     }
     let open = link.start();
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -5,7 +5,7 @@
 
 use cactushold_config::Config;
 use cactushold_lease::{Fence, Incarnation, Time};
-use cactushold_quota::{Bucket, Demand, Limits, Loan, Share, Terms};
+use cactushold_quota::{Bucket, Demand, Limits, Loan, Share, State, Terms};
 
 /// Weight of the latest interval in the demand that is reported.
 const SMOOTHING: f64 = 0.5;
@@ -23,6 +23,9 @@
     refused_until: Time,
 }
 
+/// A token and the time in which it comes in, or how long until there will be one.
+pub type Token = Result<Duration, Duration>;
+
 /// A demand that is due.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Due {
@@ -107,16 +110,40 @@
     }
 
     /// Takes a single token as owner of the workspace's bucket; tells the wait if there is none.
-    pub fn take(&mut self, workspace: &str, owned: Owned<'_>) -> Option<Result<(), Duration>> {
-        let now = owned.now;
-        let bucket = self.bucket(workspace, owned)?;
-        Some(if bucket.take(now) { Ok(()) } else { Err(bucket.wait(now)) })
+    pub fn take(&mut self, workspace: &str, owned: Owned<'_>) -> Option<Token> {
+        let (now, until) = (owned.now, owned.valid_until);
+        Some(self.bucket(workspace, owned)?.take(now, until))
+    }
+
+    /// Takes the buckets of workspaces out, for their new owner.
+    pub fn export(&mut self, is_moved: impl Fn(&str) -> bool, now: Time) -> Vec<(String, State)> {
+        let moved: Vec<String> =
+            self.buckets.keys().filter(|name| is_moved(name)).cloned().collect();
+        let taken = moved.into_iter().filter_map(|name| {
+            let (_, mut bucket) = self.buckets.remove(&name)?;
+            Some((name, bucket.export(now)))
+        });
+        taken.collect()
+    }
+
+    /// Goes on with buckets that another owner kept, under `fence`.
+    pub fn adopt(
+        &mut self,
+        states: Vec<(String, State)>,
+        fence: Fence,
+        config: &Config,
+        now: Time,
+    ) {
+        for (workspace, state) in states {
+            let Some(limits) = limits(config, &workspace) else { continue };
+            let bucket = Bucket::adopt(limits, Terms::default(), state, now);
+            self.buckets.insert(workspace, (fence, bucket));
+        }
     }
 
     fn bucket(&mut self, workspace: &str, owned: Owned<'_>) -> Option<&mut Bucket> {
-        let Owned { fence, acquired, config, now } = owned;
-        let configured = config.workspaces.get(workspace)?;
-        let limits = Limits { rate: configured.rate, burst: configured.burst };
+        let Owned { fence, acquired, config, now, .. } = owned;
+        let limits = limits(config, workspace)?;
         let fresh = || (fence, Bucket::new(limits, Terms::default(), acquired));
         let entry = self.buckets.entry(workspace.to_owned()).or_insert_with(fresh);
         if entry.0 != fence {
@@ -127,6 +154,11 @@
     }
 }
 
+fn limits(config: &Config, workspace: &str) -> Option<Limits> {
+    let configured = config.workspaces.get(workspace)?;
+    Some(Limits { rate: configured.rate, burst: configured.burst })
+}
+
 /// Proof that a bucket is owned here.
 #[derive(Clone, Copy)]
 pub struct Owned<'a> {
@@ -134,6 +166,8 @@
     pub fence: Fence,
     /// When the slice was acquired.
     pub acquired: Time,
+    /// The first moment at which it isn't owned any more.
+    pub valid_until: Time,
     /// Configuration in force.
     pub config: &'a Config,
     /// Present time.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -11,10 +11,10 @@
 
 use cactushold_attempt::Score;
 use cactushold_config::{Config, Settings};
-use cactushold_lease::{Fence, Incarnation, SliceId, Table, Time};
+use cactushold_lease::{Fence, Incarnation, SliceId, Table, TableVersion, Time};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::guard::Guard;
+use crate::guard::{Guard, Unsure};
 use crate::quota::Ledger;
 
 /// How long a configuration may be used after it was last known to be current.
@@ -33,6 +33,8 @@
     pub fences: HashMap<SliceId, Fence>,
     /// When each of them was acquired; zero if nobody held it before.
     pub acquired: HashMap<SliceId, Time>,
+    /// Until when runs under an earlier holder can't be excluded for an unknown key.
+    pub unsure_until: Unsure,
     /// The first moment at which none of them may be served.
     pub valid_until: Time,
     /// The latest moment at which the configuration was known to be current.
@@ -68,6 +70,8 @@
     Report(cactushold_lease::Report),
     /// The upstream doesn't know the grant of a slice.
     Regrant(SliceId),
+    /// Tell whether a slice was given up to the assignment of this table version.
+    HasGivenUp(SliceId, TableVersion, oneshot::Sender<bool>),
 }
 
 /// Addresses that the daemon listens on.
@@ -77,6 +81,8 @@
     pub callers: SocketAddr,
     /// Other daemons.
     pub peers: SocketAddr,
+    /// Where other daemons find `peers`.
+    pub advertised: SocketAddr,
     /// Operators' HTTP.
     pub admin: SocketAddr,
 }
--- a/crates/daemon/tests/system/main.rs
+++ b/crates/daemon/tests/system/main.rs
@@ -3,6 +3,8 @@
 mod cases;
 mod configuration;
 mod once;
+mod network;
 mod ownership;
 mod path;
+mod rates;
 mod zones;
--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -64,6 +64,15 @@
         self.released(owner).is_some()
     }
 
+    /// How many owners are proven stopped.
+    pub fn stopped(&self) -> usize {
+        let complete = |number: &&Number| {
+            let releases = &self.releases[*number];
+            self.sponsors.get(number).is_some_and(|s| s.iter().all(|id| releases.contains_key(id)))
+        };
+        self.releases.keys().filter(complete).count()
+    }
+
     /// The fence under which `me` may hold the slice, by a table of version `version`, or nothing
     /// as long as another member may hold it.
     pub fn fence(&self, me: Incarnation, slice: &Slice, version: TableVersion) -> Option<Fence> {
--- a/crates/lease/src/member.rs
+++ b/crates/lease/src/member.rs
@@ -10,6 +10,10 @@
 
 /// Name of the service whose only slice belongs to the leader.
 const CONTROL: &str = "_control";
+/// Unanswered renewals after which an owner whose lease ran out stops renewing for a while.
+const UNANSWERED: u32 = 2;
+/// For how many leases it stops, so that its sponsors can release it.
+const QUIET_LEASES: u32 = 2;
 /// How long unanswered requests are repeated quickly before they are repeated at renewal pace.
 const EAGER: Time = Time::from_secs(2);
 
@@ -54,6 +58,8 @@
     table: Arc<Table>,
     owner: Option<Owner>,
     renewed_at: Option<Time>,
+    unanswered: u32,
+    quiet_until: Time,
     sponsored: BTreeMap<Incarnation, Sponsor>,
     told_at: BTreeMap<Incarnation, Time>,
     suspicions: BTreeMap<Number, BTreeMap<Incarnation, Time>>,
@@ -72,6 +78,8 @@
             table: Arc::new(Table::default()),
             owner: None,
             renewed_at: None,
+            unanswered: 0,
+            quiet_until: Time::ZERO,
             sponsored: BTreeMap::new(),
             told_at: BTreeMap::new(),
             suspicions: BTreeMap::new(),
@@ -111,6 +119,11 @@
         &self.held
     }
 
+    /// Whether this member gave a slice up to the assignment of table version `since`.
+    pub fn has_given_up(&self, slice: SliceId, since: TableVersion) -> bool {
+        self.evidence.has_yielded_to(slice, since)
+    }
+
     /// The fence under which work for a slice may be admitted at `now`.
     pub fn fence(&self, slice: SliceId, now: Time) -> Option<Fence> {
         match self.held.get(&slice) {
@@ -130,6 +143,11 @@
         self.evidence.is_stopped(other)
     }
 
+    /// How many incarnations are proven stopped by the releases collected here.
+    pub fn stopped(&self) -> usize {
+        self.evidence.stopped()
+    }
+
     /// The newest versions that the sponsors of a stopped incarnation knew.
     pub fn last_known_of(&self, other: Incarnation) -> Option<Known> {
         self.evidence.released(other)
@@ -214,6 +232,9 @@
             Message::Renewed { number, sent, known } => {
                 if let Some(owner) = &mut self.owner {
                     owner.renewed(from, number, sent, known, &self.timing);
+                    if owner.is_valid(now) {
+                        self.unanswered = 0;
+                    }
                 }
             }
             Message::Lapsed { number, other } => self.on_lapsed(from, number, other, now),
@@ -290,10 +311,18 @@
 
     fn renew(&mut self, now: Time, out: &mut Vec<Envelope>) {
         let Some(owner) = &self.owner else { return };
-        if self.renewed_at.is_some_and(|at| now < at + self.timing.renewal) {
+        let is_due = self.renewed_at.is_none_or(|at| now >= at + self.timing.renewal);
+        if !is_due || now < self.quiet_until {
+            return;
+        }
+        // Answers don't get through, but renewals may: without a pause nobody could succeed.
+        if !owner.is_valid(now) && self.unanswered > UNANSWERED {
+            self.quiet_until = now + self.timing.lease * QUIET_LEASES;
+            self.unanswered = 0;
             return;
         }
         self.renewed_at = Some(now);
+        self.unanswered += 1;
         let number = owner.number();
         let [first, second] = owner.sponsors();
         for (sponsor, other) in [(first, second), (second, first)] {
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -127,6 +127,15 @@
         slices.get(after.checked_sub(1)?)
     }
 
+    /// The first key hash after a slice's range, and its service.
+    pub fn end_of(&self, id: SliceId) -> Option<(&str, u64)> {
+        self.services.iter().find_map(|(service, slices)| {
+            let at = slices.iter().position(|slice| slice.id == id)?;
+            let end = slices.get(at + 1).map_or(u64::MAX, |next| next.start);
+            Some((service.as_str(), end))
+        })
+    }
+
     /// Looks a slice up by identity.
     pub fn slice(&self, id: SliceId) -> Option<&Slice> {
         self.slices().find(|slice| slice.id == id)
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -16,6 +16,12 @@
 const HEADROOM: f64 = 1.25;
 /// Rates below this are not lent; their requests ask one by one.
 const LEAST_LOAN_PER_S: f64 = 2.0;
+/// A token that comes in this soon is given in advance.
+const WORTH_WAITING: Duration = Duration::from_millis(250);
+/// The longest wait told.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// Rate that is assumed free at the least when a wait is computed.
+const LEAST_FREE_PER_S: f64 = 0.1;
 /// Time at its rate for which a borrower may save up tokens.
 const DEPTH_S: f64 = 0.25;
 
@@ -37,6 +43,14 @@
     pub held: Loan,
 }
 
+/// State of a bucket on its way to a new owner.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct State {
+    tokens: f64,
+    blind: Duration,
+    grants: Vec<(Borrower, f64, f64, Duration)>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Grant {
     rate: f64,
@@ -54,7 +68,7 @@
 /// let now = Duration::from_secs(10);
 /// let loan = bucket.lend(1, Demand { rate: 40.0, ..Demand::default() }, now);
 /// assert_eq!(loan.rate, 50.0, "with headroom");
-/// assert!(bucket.take(now), "single tokens are left for others");
+/// assert!(bucket.take(now, now + Duration::from_secs(1)).is_ok(), "single tokens are left for others");
 /// ```
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -89,26 +103,55 @@
         self.limits = limits;
     }
 
-    /// Takes one token for one request of a daemon without a loan.
-    pub fn take(&mut self, now: Duration) -> bool {
+    /// Takes one token for one request of a daemon without a loan. The request may run after the
+    /// returned time, in which its token comes in. `until` ends the ownership: no token is given
+    /// in advance beyond it, since the next owner couldn't know.
+    ///
+    /// # Errors
+    /// The token would come in too late; tells when there will be one.
+    pub fn take(&mut self, now: Duration, until: Duration) -> Result<Duration, Duration> {
         self.refill(now);
-        let allowed = self.tokens >= 1.0;
-        if allowed {
-            self.tokens -= 1.0;
+        // Only on what is never lent: the rest may be lent before the token has come in.
+        let free = (self.limits.rate - self.lendable_rate()).max(LEAST_FREE_PER_S);
+        let missing = (1.0 - self.tokens).max(0.0);
+        let wait = Duration::from_secs_f64((missing / free).min(LONGEST_WAIT.as_secs_f64()));
+        if wait > WORTH_WAITING.min(until.saturating_sub(now)) {
+            return Err(wait);
         }
-        allowed
+        self.tokens -= 1.0;
+        Ok(wait)
     }
 
-    /// How long until a token will be there, if no more is lent.
-    pub fn wait(&self, now: Duration) -> Duration {
-        let free = (self.limits.rate - self.lent(now).rate).max(0.1);
-        let missing = (1.0 - self.tokens).max(0.0);
-        Duration::from_secs_f64((missing / free).min(60.0))
+    /// What a new owner has to know to go on where this one stops.
+    pub fn export(&mut self, now: Duration) -> State {
+        self.refill(now);
+        let grants = self.grants.iter().flat_map(|(borrower, grants)| {
+            let running = grants.iter().filter(|grant| now < grant.until);
+            running.map(|grant| (*borrower, grant.rate, grant.depth, grant.until - now))
+        });
+        State {
+            tokens: self.tokens,
+            blind: self.blind_until.saturating_sub(now),
+            grants: grants.collect(),
+        }
+    }
+
+    /// A bucket that goes on where another owner stopped, after it lends nothing any more.
+    pub fn adopt(limits: Limits, terms: Terms, state: State, now: Duration) -> Bucket {
+        let mut bucket = Bucket::new(limits, terms, now);
+        bucket.blind_until = now + state.blind;
+        bucket.tokens = state.tokens.min(limits.burst);
+        for (borrower, rate, depth, left) in state.grants {
+            let grant = Grant { rate, depth, until: now + left };
+            bucket.grants.entry(borrower).or_default().push(grant);
+        }
+        bucket
     }
 
     /// Lends by demand, or renews what a borrower of an earlier owner still holds.
     pub fn lend(&mut self, borrower: Borrower, demand: Demand, now: Duration) -> Loan {
         self.refill(now);
+        self.confirm(borrower, demand.held);
         self.demands.insert(borrower, (demand.rate, now));
         if now < self.blind_until {
             return self.renew_held(borrower, demand.held, now);
@@ -116,15 +159,30 @@
         let others = self.lent_to_others(borrower, now);
         let rate = self.fair_rate(borrower, demand.rate, now);
         let rate = rate.min(self.lendable_rate() - others.rate).max(0.0);
-        let rate = if rate < LEAST_LOAN_PER_S { 0.0 } else { rate };
+        let rate = if rate < LEAST_LOAN_PER_S { 0.0 } else { whole_milli(rate) };
         let before = self.lent_to(borrower, now);
         let wanted = if rate > 0.0 { (rate * DEPTH_S).max(1.0) } else { 0.0 };
         let wanted = wanted.min((self.limits.burst * LENT_DEPTH - others.depth).max(0.0));
-        let more = (wanted - before.depth).clamp(0.0, self.tokens.floor());
-        let depth = if wanted > before.depth { before.depth + more } else { wanted };
-        self.tokens -= more;
-        self.note(borrower, rate, depth, now);
-        Loan { rate, depth, fresh: more }
+        let wanted = whole_milli(wanted);
+        // A loan that can't save up one token is of no use.
+        let rate = if wanted < 1.0 { 0.0 } else { rate };
+        let fresh = (wanted - before.depth).min(self.tokens.floor()).max(0.0);
+        self.tokens -= fresh;
+        self.note(borrower, rate, wanted, now);
+        Loan { rate, depth: wanted, fresh }
+    }
+
+    /// A borrower never goes back to an earlier loan, so those before the one it holds are over.
+    /// One that holds nothing may still get the answer with an earlier loan.
+    fn confirm(&mut self, borrower: Borrower, held: Loan) {
+        if held.rate == 0.0 {
+            return;
+        }
+        let Some(grants) = self.grants.get_mut(&borrower) else { return };
+        let is_held = |grant: &Grant| grant.rate == held.rate && grant.depth == held.depth;
+        if let Some(at) = grants.iter().position(is_held) {
+            grants.drain(..at);
+        }
     }
 
     fn renew_held(&mut self, borrower: Borrower, held: Loan, now: Duration) -> Loan {
@@ -170,6 +228,13 @@
         })
     }
 
+    /// All that may ever be lent.
+    fn lendable(&self) -> Loan {
+        let rate = self.lendable_rate();
+        let depth = if rate > 0.0 { self.limits.burst * LENT_DEPTH } else { 0.0 };
+        Loan { rate, depth, fresh: 0.0 }
+    }
+
     fn lent(&self, now: Duration) -> Loan {
         self.sum(self.grants.keys().copied(), now)
     }
@@ -189,17 +254,8 @@
     fn refill(&mut self, now: Duration) {
         let mut from = self.updated;
         if from < self.blind_until {
-            let lent = Loan {
-                rate: self.lendable_rate(),
-                depth: if self.lendable_rate() > 0.0 {
-                    self.limits.burst * LENT_DEPTH
-                } else {
-                    0.0
-                },
-                fresh: 0.0,
-            };
             let to = now.min(self.blind_until);
-            self.add(lent, to.saturating_sub(from));
+            self.add(self.lendable(), to.saturating_sub(from));
             from = to;
         }
         let lent = self.lent(from);
@@ -214,3 +270,8 @@
         self.tokens = (self.tokens + free * elapsed.as_secs_f64()).min(room);
     }
 }
+
+/// Rates and depths travel in thousandths; rounded down, both sides know the same ones.
+fn whole_milli(value: f64) -> f64 {
+    (value * 1_000.0).floor() / 1_000.0
+}
--- a/crates/quota/src/share.rs
+++ b/crates/quota/src/share.rs
@@ -35,11 +35,17 @@
     tokens: f64,
     updated: Duration,
     until: Duration,
+    sent: Duration,
 }
 
 impl Share {
-    /// Takes up the answer to a demand that was sent at `sent`.
+    /// Takes up the answer to a demand that was sent at `sent`; one that was overtaken by the
+    /// answer to a later demand is ignored.
     pub fn renew(&mut self, loan: Loan, sent: Duration, now: Duration, terms: &Terms) {
+        if sent < self.sent {
+            return;
+        }
+        self.sent = sent;
         self.refill(now);
         self.loan = loan;
         self.until = self.until.max(sent + terms.term);
--- a/crates/quota/tests/envelope.rs
+++ b/crates/quota/tests/envelope.rs
@@ -6,6 +6,8 @@
 
 const DAEMONS: usize = 6;
 const SEEDS: u64 = 300;
+/// For how long an owner may give tokens in advance.
+const LEASE: Duration = Duration::from_millis(600);
 const STEPS: usize = 1_500;
 
 /// What goes wrong in a run, in chances per step.
@@ -14,6 +16,7 @@
     lost_answer: f64,
     late_answer: f64,
     owner_loss: f64,
+    planned_move: f64,
     forgetful_owner: bool,
 }
 
@@ -58,7 +61,13 @@
         let pause = self.random.f64() * 2.0 / (self.limits.rate * overload);
         self.now += Duration::from_secs_f64(pause);
         self.deliver();
+        if self.chance(self.faults.planned_move) {
+            let state = self.bucket.export(self.now);
+            self.bucket = Bucket::adopt(self.limits, Terms::default(), state, self.now);
+        }
         if self.chance(self.faults.owner_loss) {
+            // Another owner follows only when the lease of this one has run out.
+            self.now += LEASE;
             let since = if self.faults.forgetful_owner { Duration::ZERO } else { self.now };
             self.bucket = Bucket::new(self.limits, Terms::default(), since);
         }
@@ -67,8 +76,10 @@
             self.demand(daemon, overload);
         }
         let now = self.now;
-        if self.shares[daemon].take(now) || self.bucket.take(now) {
+        if self.shares[daemon].take(now) {
             self.admitted.push(now);
+        } else if let Ok(wait) = self.bucket.take(now, now + LEASE) {
+            self.admitted.push(now + wait);
         }
     }
 
@@ -96,7 +107,8 @@
     }
 
     /// The most that was admitted over the envelope in any window.
-    fn excess(&self) -> f64 {
+    fn excess(&mut self) -> f64 {
+        self.admitted.sort();
         let mut least = f64::INFINITY;
         let mut excess = f64::NEG_INFINITY;
         for (count, at) in self.admitted.iter().enumerate() {
@@ -117,8 +129,13 @@
     runs.max_by(|a, b| a.0.total_cmp(&b.0)).expect("runs")
 }
 
-const FAULTS: Faults =
-    Faults { lost_answer: 0.1, late_answer: 0.1, owner_loss: 0.002, forgetful_owner: false };
+const FAULTS: Faults = Faults {
+    lost_answer: 0.1,
+    late_answer: 0.1,
+    owner_loss: 0.002,
+    planned_move: 0.01,
+    forgetful_owner: false,
+};
 
 #[test]
 fn ten_times_the_rate_stays_inside_through_losses() {
@@ -148,3 +165,22 @@
     (0..STEPS).for_each(|_| fleet.step(0.7));
     assert_eq!(fleet.admitted.len(), STEPS);
 }
+
+#[test]
+fn a_workspace_over_its_rate_still_gets_its_rate() {
+    for limits in [Limits { rate: 500.0, burst: 500.0 }, Limits { rate: 20.0, burst: 20.0 }] {
+        let faults = Faults {
+            lost_answer: 0.0,
+            late_answer: 0.0,
+            owner_loss: 0.0,
+            planned_move: 0.0,
+            ..FAULTS
+        };
+        let mut fleet = Fleet::new(limits, 1, faults);
+        let start = fleet.now;
+        (0..60_000).for_each(|_| fleet.step(10.0));
+        let elapsed = (fleet.now - start).as_secs_f64();
+        let got = fleet.admitted.len() as f64;
+        assert!(got >= 0.95 * limits.rate * elapsed, "{limits:?}: {got} in {elapsed} s");
+    }
+}
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -15,6 +15,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+use crate::relay::Relay;
 use crate::upstream::Shape;
 use crate::{platform, upstream};
 
@@ -117,6 +118,10 @@
     pub callers: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Address that its datagrams come from.
+    pub peers: SocketAddr,
+    /// The network before it, if there is one to be disturbed.
+    pub relay: Option<Relay>,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -187,6 +192,8 @@
     pub workers: usize,
     /// Lines added to each daemon's settings.
     pub extra_settings: String,
+    /// Puts a relay before each daemon.
+    pub with_relays: bool,
 }
 
 /// Path of a binary of this workspace, beside the running one.
@@ -224,6 +231,7 @@
             settings,
             workers: 1,
             extra_settings: String::new(),
+            with_relays: false,
         }
     }
 
@@ -234,21 +242,8 @@
     pub async fn add(&mut self, name: &str, zone: &str, service: &str, shape: Shape) -> usize {
         let any = ([127, 0, 0, 1], 0).into();
         let (upstream, _) = upstream::start(any, shape).await.expect("a free port");
-        self.add_beside(name, zone, service, upstream)
-    }
-
-    /// Starts a daemon beside a running upstream; returns its index.
-    ///
-    /// # Panics
-    /// It can't be started.
-    pub fn add_beside(
-        &mut self,
-        name: &str,
-        zone: &str,
-        service: &str,
-        upstream: SocketAddr,
-    ) -> usize {
-        let daemon = self.spawn(name, zone, service, upstream);
+        let relay = if self.with_relays { Some(Relay::start().await) } else { None };
+        let daemon = self.spawn(name, zone, service, upstream, relay);
         self.daemons.push(daemon);
         self.daemons.len() - 1
     }
@@ -261,16 +256,26 @@
         self.daemons[index].kill();
         let old = &self.daemons[index];
         let (name, zone, service) = (old.name.clone(), old.zone.clone(), old.service.clone());
-        let upstream = old.upstream;
-        self.daemons[index] = self.spawn(&name, &zone, &service, upstream);
+        let (upstream, relay) = (old.upstream, old.relay.clone());
+        self.daemons[index] = self.spawn(&name, &zone, &service, upstream, relay);
     }
 
-    fn spawn(&self, name: &str, zone: &str, service: &str, upstream: SocketAddr) -> Daemon {
+    fn spawn(
+        &self,
+        name: &str,
+        zone: &str,
+        service: &str,
+        upstream: SocketAddr,
+        relay: Option<Relay>,
+    ) -> Daemon {
+        let advertise = relay
+            .as_ref()
+            .map_or_else(String::new, |relay| format!("advertise = \"{}\"\n", relay.address));
         let path = self.settings.join(format!("{name}.toml"));
         let text = format!(
             "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nservice = \"{service}\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
-             admin = \"127.0.0.1:0\"\n\
+             admin = \"127.0.0.1:0\"\n{advertise}\
              [platform]\naddress = \"{}\"\n[upstream]\naddress = \"{upstream}\"\n\
              [log]\nformat = \"json\"\n[limits]\nworkers = {}\n{}",
             self.platform, self.workers, self.extra_settings
@@ -291,7 +296,10 @@
             let text = listening[key].as_str().unwrap_or_else(|| panic!("{name}: {first}"));
             text.parse().expect("an address")
         };
-        let (callers, admin) = (address("callers"), address("admin"));
+        let (callers, admin, peers) = (address("callers"), address("admin"), address("peers"));
+        if let Some(relay) = &relay {
+            relay.set_target(peers);
+        }
         let log = Arc::new(Mutex::new(vec![first]));
         let copy = Arc::clone(&log);
         std::thread::spawn(move || {
@@ -309,6 +317,8 @@
             upstream,
             callers,
             admin,
+            peers,
+            relay,
             child,
             log,
         }
@@ -335,6 +345,22 @@
         self.http.send(method, address, path, &all, body.to_owned()).await
     }
 
+    /// Cuts a daemon off from the others, or heals the cut: nothing reaches it, and none of its
+    /// datagrams reach them.
+    pub fn cut_off(&self, index: usize, is_cut: bool) {
+        self.cut_inbound(index, is_cut);
+        for other in self.daemons.iter().filter_map(|daemon| daemon.relay.as_ref()) {
+            other.block(self.daemons[index].peers, is_cut);
+        }
+    }
+
+    /// Cuts what is sent to a daemon; what it sends gets through.
+    pub fn cut_inbound(&self, index: usize, is_cut: bool) {
+        if let Some(relay) = &self.daemons[index].relay {
+            relay.cut(is_cut);
+        }
+    }
+
     /// State of a daemon; null if it doesn't answer.
     pub async fn status(&self, index: usize) -> Value {
         self.http.get_json(self.daemons[index].admin, "/status").await.unwrap_or_default()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod environment;
 pub mod platform;
+pub mod relay;
 pub mod shapes;
 pub mod upstream;
 
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -105,5 +105,7 @@
   fetch @1 (document :Document) -> (version :UInt64, content :Data);
   patch @2 (content :Data) -> (outcome :Data);
   report @3 (content :Data) -> (accepted :Bool);
+  # Records of a slice that was given up; empty if it wasn't.
+  records @5 (slice :UInt32, since :UInt64) -> (content :Data);
   share @4 (demands :List(Demand)) -> (shares :List(Share), accepted :Bool);
 }
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -5469,6 +5469,8 @@
     pub type ReportResults<> = ::capnp::capability::Results<crate::schema_capnp::peer::report_results::Owned>;
     pub type ShareParams<> = ::capnp::capability::Params<crate::schema_capnp::peer::share_params::Owned>;
     pub type ShareResults<> = ::capnp::capability::Results<crate::schema_capnp::peer::share_results::Owned>;
+    pub type RecordsParams<> = ::capnp::capability::Params<crate::schema_capnp::peer::records_params::Owned>;
+    pub type RecordsResults<> = ::capnp::capability::Results<crate::schema_capnp::peer::records_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5533,6 +5535,9 @@
         pub fn share_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::peer::share_params::Owned,crate::schema_capnp::peer::share_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn records_request(&self) -> ::capnp::capability::Request<crate::schema_capnp::peer::records_params::Owned,crate::schema_capnp::peer::records_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn forward(self: ::capnp::capability::Rc<Self>, _: ForwardParams<>, _: ForwardResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::forward not implemented".to_string()))) }
@@ -5540,6 +5545,7 @@
         fn patch(self: ::capnp::capability::Rc<Self>, _: PatchParams<>, _: PatchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::patch not implemented".to_string()))) }
         fn report(self: ::capnp::capability::Rc<Self>, _: ReportParams<>, _: ReportResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::report not implemented".to_string()))) }
         fn share(self: ::capnp::capability::Rc<Self>, _: ShareParams<>, _: ShareResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::share not implemented".to_string()))) }
+        fn records(self: ::capnp::capability::Rc<Self>, _: RecordsParams<>, _: RecordsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::records not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5574,6 +5580,7 @@
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::patch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::share(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::records(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -7703,4 +7710,436 @@
             pub(crate) const TYPE_ID: u64 = 0xa94c_ed49_ac9f_a2fc;
         }
     }
+
+    pub mod records_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_slice(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_since(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_slice(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_slice(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_since(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_since(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(83, 88, 70, 2, 29, 211, 84, 241),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 80, 101, 101),
+                ::capnp::word(114, 46, 114, 101, 99, 111, 114, 100),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 108, 105, 99, 101, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xf154_d31d_0246_5853;
+        }
+    }
+
+    pub mod records_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_content(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_content(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_content(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_content(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(232, 81, 48, 235, 13, 11, 47, 223),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 80, 101, 101),
+                ::capnp::word(114, 46, 114, 101, 99, 111, 114, 100),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 110, 116, 101, 110, 116, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xdf2f_0b0d_eb30_51e8;
+        }
+    }
 }
