--- a/crates/attempt/src/balance.rs
+++ b/crates/attempt/src/balance.rs
@@ -40,13 +40,14 @@
         self.sampled_at = now;
     }
 
-    /// Notes an attempt that was given up; tells that the upstream took at least `elapsed`.
+    /// Notes an attempt that was given up: the upstream took at least `elapsed`, and is as slow
+    /// as it last was if that is more than expected by now.
     pub fn abandoned(&mut self, elapsed: Duration, now: Duration) {
         let slower = elapsed.as_secs_f64() > self.latency(now, HALF_LIFE);
+        self.in_flight = self.in_flight.saturating_sub(1);
         if slower {
-            self.ended(elapsed, false, now);
-        } else {
-            self.in_flight = self.in_flight.saturating_sub(1);
+            self.latency_s = self.latency_s.max(elapsed.as_secs_f64());
+            self.sampled_at = now;
         }
     }
 
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -74,13 +74,14 @@
 
     /// Puts a newer slice table in force.
     pub(super) fn learn_table(&self, table: Table) {
-        if table.version <= self.known().table || self.member.borrow().is_none() {
+        if table.version <= self.known().table {
             return;
         }
         log!(debug, Event::TableInForce, version = table.version);
         let known = Known { table: table.version, config: 0 };
         self.newest.set(self.newest.get().merge(known));
         let table = Arc::new(table);
+        *self.table.borrow_mut() = Arc::clone(&table);
         self.with_member(|member, _| member.learn(Arc::clone(&table)));
         let addresses: Vec<SocketAddr> =
             table.members.values().map(|member| member.peer.address).collect();
--- a/crates/daemon/src/control/heartbeat.rs
+++ b/crates/daemon/src/control/heartbeat.rs
@@ -40,8 +40,7 @@
     }
 
     pub(super) fn address_of(&self, id: Incarnation) -> Option<SocketAddr> {
-        let member = self.member.borrow();
-        member.as_ref()?.table().members.get(&id).map(|member| member.peer.address)
+        self.table.borrow().members.get(&id).map(|member| member.peer.address)
     }
 
     fn send(
@@ -124,20 +123,18 @@
 
     /// Whether the table names this process.
     pub(super) fn is_member(&self) -> bool {
-        let member = self.member.borrow();
-        member.as_ref().is_some_and(|member| member.table().members.contains_key(&member.id()))
+        self.table.borrow().members.contains_key(&self.id())
     }
 
     /// Daemons that know more: the possible leaders, and the seeds before there is a table.
     fn informants(&self) -> Vec<SocketAddr> {
-        let member = self.member.borrow();
-        let table = member.as_ref().map(|member| member.table());
-        let control = table.and_then(|table| table.locate(cactushold_placement::CONTROL, 0));
+        let table = self.table.borrow();
+        let control = table.locate(cactushold_placement::CONTROL, 0);
         let holders = control.map(|slice| slice.possible_holders()).unwrap_or_default();
         let own = self.shared.addresses.advertised;
         let known: Vec<SocketAddr> = holders
             .iter()
-            .filter_map(|id| Some(table?.members.get(id)?.peer.address))
+            .filter_map(|id| Some(table.members.get(id)?.peer.address))
             .filter(|address| *address != own)
             .collect();
         if known.is_empty() { self.shared.settings.seeds.clone() } else { known }
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -229,7 +229,7 @@
                 return Ok(());
             }
             self.leader.borrow_mut().revised = Some(inputs);
-            std::sync::Arc::clone(member.table())
+            std::sync::Arc::clone(&self.table.borrow())
         };
         let mut base = (*table).clone();
         let is_settled = self.leader.borrow().settle(&mut base);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use cactushold_config::Config;
-use cactushold_lease::{Fence, Incarnation, Known, Member, SliceId, Time};
+use cactushold_lease::{Fence, Incarnation, Known, Member, SliceId, Table, Time};
 use cactushold_platform::Client;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -55,6 +55,8 @@
     socket: UdpSocket,
     platform: Client,
     member: RefCell<Option<Member>>,
+    /// In force also before this process is a member.
+    table: RefCell<Arc<Table>>,
     config: RefCell<Arc<Config>>,
     fresh: Cell<Option<Fresh>>,
     newest: Cell<Known>,
@@ -95,6 +97,7 @@
             socket,
             platform,
             member: RefCell::default(),
+            table: RefCell::default(),
             config: RefCell::default(),
             fresh: Cell::new(None),
             newest: Cell::default(),
@@ -118,7 +121,7 @@
     }
 
     fn known(&self) -> Known {
-        self.member.borrow().as_ref().map(Member::known).unwrap_or_default()
+        Known { table: self.table.borrow().version, config: self.config.borrow().version }
     }
 
     fn leads(&self, now: Time) -> bool {
@@ -158,7 +161,7 @@
     /// Swaps the view if anything in it changed.
     fn publish(&self, now: Time) {
         let member = self.member.borrow();
-        let table = member.as_ref().map(|member| Arc::clone(member.table())).unwrap_or_default();
+        let table = Arc::clone(&self.table.borrow());
         let config = Arc::clone(&self.config.borrow());
         let fresh = self.fresh.get().filter(|fresh| config.version >= fresh.version);
         let leads = member.as_ref().is_some_and(|member| member.is_leader(now));
--- a/crates/daemon/src/control/registration.rs
+++ b/crates/daemon/src/control/registration.rs
@@ -73,11 +73,11 @@
 
     /// A new member starts with the documents that are in force here.
     fn readopt_documents(&self) {
-        let view = self.shared.view();
-        let version = self.config.borrow().version;
+        let known = self.known();
+        let table = std::sync::Arc::clone(&self.table.borrow());
         self.with_member(|member, _| {
-            member.learn_config(version);
-            member.learn(std::sync::Arc::clone(&view.table));
+            member.learn_config(known.config);
+            member.learn(table);
         });
         self.publish(clock::now());
     }
--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -35,9 +35,8 @@
 
     /// Who may lead, the likeliest first.
     pub(super) fn possible_leaders(&self) -> Vec<Incarnation> {
-        let member = self.member.borrow();
-        let Some(member) = member.as_ref() else { return Vec::new() };
-        let control = member.table().locate(cactushold_placement::CONTROL, 0);
+        let table = self.table.borrow();
+        let control = table.locate(cactushold_placement::CONTROL, 0);
         let assignments = control.map(|slice| {
             let earlier = slice.previous.map(|previous| previous.assignment);
             std::iter::once(slice.current).chain(earlier)
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -76,7 +76,9 @@
                     Step::Wait => return Err(plan.last),
                     Step::Again(pause) => {
                         if running.is_empty() {
-                            tokio::time::sleep(pause).await;
+                            if !pause.is_zero() {
+                                tokio::time::sleep(pause).await;
+                            }
                             running.push(attempt(worker, &request, plan.target()?));
                         }
                     }
@@ -138,14 +140,14 @@
             && self.request.key.is_none()
             && !self.hedged
             && (1..MAX_PARALLEL).contains(&running);
-        may.then(|| self.worker.latency.borrow_mut().high())
+        may.then(|| self.worker.usual_latency(&self.request.service))
     }
 
     fn judge(&mut self, outcome: Outcome) -> Step {
         let refusal = match outcome.answer {
             Ok(reply) => {
                 self.targets.learn(&self.worker.shared, outcome.target);
-                self.worker.latency.borrow_mut().note(outcome.took);
+                self.worker.note_latency(&self.request.service, outcome.took);
                 return Step::Finish(Box::new(Ok(reply)));
             }
             Err(refusal) => refusal,
--- a/crates/daemon/src/ingress/rate.rs
+++ b/crates/daemon/src/ingress/rate.rs
@@ -36,6 +36,7 @@
         let now = clock::now();
         match token {
             Some(Ok(wait)) if now + wait >= deadline => return Err(Refusal::new(Kind::Expired)),
+            Some(Ok(Duration::ZERO)) => return Ok(()),
             Some(Ok(wait)) => {
                 tokio::time::sleep(wait).await;
                 return Ok(());
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -1,6 +1,7 @@
 //! A worker thread: callers, daemons' calls and the upstream, on one event loop.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,12 +34,31 @@
     pub upstream: Rc<Upstream>,
     /// Bounds retries and hedges.
     pub budget: RefCell<Budget>,
-    /// Latency of attempts, to time hedges by.
-    pub latency: RefCell<Percentile>,
+    /// Latency of attempts by service, to time hedges by.
+    latency: RefCell<HashMap<String, Percentile>>,
     /// Source of jitter and choice.
     pub random: RefCell<fastrand::Rng>,
 }
 
+impl Worker {
+    /// The latency that few attempts of a service exceed.
+    pub fn usual_latency(&self, service: &str) -> Duration {
+        let latency = self.latency.borrow();
+        latency.get(service).map_or_else(|| Percentile::default().high(), Percentile::high)
+    }
+
+    /// Notes the latency of a successful attempt.
+    pub fn note_latency(&self, service: &str, took: Duration) {
+        let mut latency = self.latency.borrow_mut();
+        if !latency.contains_key(service) {
+            latency.insert(service.to_owned(), Percentile::default());
+        }
+        if let Some(found) = latency.get_mut(service) {
+            found.note(took);
+        }
+    }
+}
+
 /// Listens on an address that was reserved; each worker does so by itself.
 ///
 /// # Errors
--- a/crates/daemon/tests/docs.rs
+++ b/crates/daemon/tests/docs.rs
@@ -87,3 +87,40 @@
     }
     check("OPERATIONS.md", "limits", &table);
 }
+
+/// Every test in the workspace, by crate or `S` for the sessions, file and name.
+fn all_tests() -> String {
+    let mut all = String::new();
+    let crates = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut folders = vec![crates];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).expect("a folder").flatten() {
+            let path = entry.path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                let text = std::fs::read_to_string(&path).expect("a source file");
+                let name = path.display().to_string();
+                all += &format!("// {name}\n{text}\n");
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn every_proof_that_the_design_names_exists() {
+    let text = std::fs::read_to_string(document("DESIGN.md")).expect("the document exists");
+    let sources = all_tests();
+    let mut count = 0;
+    for row in text.lines().filter(|line| line.starts_with("| ") && line.contains("::")) {
+        for name in row.split('`').skip(1).step_by(2).filter(|name| name.contains("::")) {
+            let function = name.rsplit("::").next().unwrap_or_default();
+            if function != "*" {
+                assert!(sources.contains(&format!("fn {function}(")), "no test {name}");
+                count += 1;
+            }
+        }
+    }
+    assert!(count > 15, "{count}");
+}
--- a/crates/daemon/tests/system/ownership.rs
+++ b/crates/daemon/tests/system/ownership.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use cactushold_standin::upstream::Shape;
 use serde_json::json;
 
 use crate::cases::{
-    Load, Session, assert_fences_rise, assert_truthful, by_tag, describe, owner, small,
+    Load, RUN, Session, assert_fences_rise, assert_truthful, by_tag, describe, owner, small,
 };
 
 /// Longer than a lease with its margin, several times over.
@@ -137,3 +138,27 @@
     session.answer("POST after it woke", &answer);
     insta::assert_snapshot!(session.text());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_starts_while_the_platform_is_out_serves_callers_from_its_seeds() {
+    let mut environment = small().await;
+    environment.platform_faults(json!({ "outage": true })).await;
+    let seeds: Vec<String> =
+        environment.daemons.iter().map(|daemon| format!("\"{}\"", daemon.peers)).collect();
+    environment.first_settings = format!("seeds = [{}]\n", seeds.join(", "));
+    let shape = Shape { slots: 12, run: RUN, cold: false, seed: 9 };
+    let late = environment.add("lookup-4", "a", "lookup", shape).await;
+    environment
+        .until("fresh from its seeds", |states| {
+            states[late]["is_fresh"] == true && states[late]["config_version"] == 1
+        })
+        .await;
+    let answer = environment.call(late, "club", "GET /lookup/zun", &[], "").await;
+    assert!(answer.as_ref().is_ok_and(|a| a.status == 200), "{}", describe(&answer));
+    assert_eq!(environment.status(late).await["slices"], 0, "it owns nothing");
+    let log = environment.daemons[late].log().join("\n");
+    assert!(log.contains("\"name\":\"waiting\""), "{log}");
+    environment.platform_faults(json!({})).await;
+    environment.until_settled().await;
+    assert_ne!(environment.status(late).await["slices"], 0, "and gets its part later");
+}
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -190,8 +190,10 @@
     settings: PathBuf,
     /// Worker threads of each daemon.
     pub workers: usize,
-    /// Lines added to each daemon's settings.
+    /// Lines added at the end of each daemon's settings, in the table of limits.
     pub extra_settings: String,
+    /// Lines put before each daemon's settings.
+    pub first_settings: String,
     /// Puts a relay before each daemon.
     pub with_relays: bool,
 }
@@ -231,6 +233,7 @@
             settings,
             workers: 1,
             extra_settings: String::new(),
+            first_settings: String::new(),
             with_relays: false,
         }
     }
@@ -273,12 +276,12 @@
             .map_or_else(String::new, |relay| format!("advertise = \"{}\"\n", relay.address));
         let path = self.settings.join(format!("{name}.toml"));
         let text = format!(
-            "[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nservice = \"{service}\"\n\
+            "{}[instance]\nname = \"{name}\"\nzone = \"{zone}\"\nservice = \"{service}\"\n\
              [listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
              admin = \"127.0.0.1:0\"\n{advertise}\
              [platform]\naddress = \"{}\"\n[upstream]\naddress = \"{upstream}\"\n\
              [log]\nformat = \"json\"\n[limits]\nworkers = {}\n{}",
-            self.platform, self.workers, self.extra_settings
+            self.first_settings, self.platform, self.workers, self.extra_settings
         );
         std::fs::write(&path, text).expect("settings can be written");
         let mut child = Command::new(binary("cactusholdd"))
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,5 +1,6 @@
 //! The network before one daemon: it can be cut, one way or both, and connections can go silent.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -92,12 +93,18 @@
                 state.target.filter(|_| passes)
             });
             let Some(target) = target else { continue };
-            if !ways.contains_key(&sender) {
-                let way = Arc::new(UdpSocket::bind(("127.0.0.1", 0)).await.expect("a free port"));
-                tokio::spawn(self.clone().pass_back(Arc::clone(&way), Arc::clone(&socket), sender));
-                ways.insert(sender, way);
-            }
-            ways[&sender].send_to(&buffer[..len], target).await.ok();
+            let way = match ways.entry(sender) {
+                Entry::Occupied(way) => Arc::clone(way.get()),
+                Entry::Vacant(place) => {
+                    let way = UdpSocket::bind(("127.0.0.1", 0)).await.expect("a free port");
+                    let way = Arc::clone(place.insert(Arc::new(way)));
+                    let back =
+                        self.clone().pass_back(Arc::clone(&way), Arc::clone(&socket), sender);
+                    tokio::spawn(back);
+                    way
+                }
+            };
+            way.send_to(&buffer[..len], target).await.ok();
         }
     }
 
