--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactushold_lease::{Incarnation, Member, Report};
+use cactushold_lease::{Incarnation, Member, Report, Slice};
 
 use crate::control::Control;
 
@@ -37,12 +37,7 @@
     pub(super) fn possible_leaders(&self) -> Vec<Incarnation> {
         let table = self.table.borrow();
         let control = table.locate(cactushold_placement::CONTROL, 0);
-        let assignments = control.map(|slice| {
-            let earlier = slice.previous.map(|previous| previous.assignment);
-            std::iter::once(slice.current).chain(earlier)
-        });
-        let assignments = assignments.into_iter().flatten();
-        assignments.flat_map(|found| [found.owner, found.successor]).collect()
+        control.map(Slice::likely_holders).unwrap_or_default()
     }
 
     async fn tell(&self, leader: Incarnation, report: &Report) -> bool {
--- a/crates/daemon/src/ingress/rate.rs
+++ b/crates/daemon/src/ingress/rate.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactushold_attempt::Kind;
-use cactushold_lease::{Incarnation, Time};
+use cactushold_lease::{Incarnation, Slice, Time};
 use cactushold_placement::{QUOTA, hash_key};
 
 use crate::clock;
@@ -68,21 +68,7 @@
 /// Possible owners of a workspace's bucket.
 pub fn owners(view: &View, workspace: &str) -> Vec<Incarnation> {
     let slice = view.table.locate(QUOTA, hash_key(workspace.as_bytes()));
-    let mut owners: Vec<Incarnation> = slice
-        .map(|slice| {
-            let earlier = slice.previous.map(|previous| previous.assignment);
-            let mut all = vec![slice.current.owner, slice.current.successor];
-            all.extend(earlier.into_iter().flat_map(|earlier| [earlier.owner, earlier.successor]));
-            all
-        })
-        .unwrap_or_default();
-    let mut seen = Vec::new();
-    owners.retain(|owner| {
-        let is_new = !seen.contains(owner);
-        seen.push(*owner);
-        is_new
-    });
-    owners
+    slice.map(Slice::likely_holders).unwrap_or_default()
 }
 
 fn over_rate(wait: Duration) -> Refusal {
--- a/crates/daemon/src/ingress/targets.rs
+++ b/crates/daemon/src/ingress/targets.rs
@@ -21,7 +21,7 @@
         let slice = request.key.and_then(|key| view.table.locate(&request.service, key));
         let hint = slice.and_then(|slice| shared.hints().get(&slice.id).copied());
         let mut owners = Vec::new();
-        for owner in hint.into_iter().chain(slice.into_iter().flat_map(holders)) {
+        for owner in hint.into_iter().chain(slice.into_iter().flat_map(Slice::likely_holders)) {
             if !owners.contains(&owner) && view.table.members.contains_key(&owner) {
                 owners.push(owner);
             }
@@ -105,13 +105,3 @@
         Choice::pick(&candidates, self.may_probe, now, random).map(|at| ids[at])
     }
 }
-
-/// Possible holders, the likeliest first.
-fn holders(slice: &Slice) -> Vec<Incarnation> {
-    let earlier = slice.previous.map(|previous| previous.assignment);
-    let mut holders = vec![slice.current.owner];
-    holders.extend(earlier.map(|earlier| earlier.owner));
-    holders.push(slice.current.successor);
-    holders.extend(earlier.map(|earlier| earlier.successor));
-    holders
-}
--- a/crates/daemon/tests/system/cases.rs
+++ b/crates/daemon/tests/system/cases.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use cactushold_standin::environment::{Answer, Environment};
+use cactushold_standin::environment::Environment;
+use cactushold_standin::http::Answer;
 use cactushold_standin::shapes::SMALL;
 use cactushold_standin::upstream::Run;
 use serde_json::Value;
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -243,6 +243,18 @@
         assignments.flat_map(|assignment| [assignment.owner, assignment.successor]).collect()
     }
 
+    /// Everyone who may hold the slice, the likeliest first.
+    pub fn likely_holders(&self) -> Vec<Incarnation> {
+        let earlier = self.previous.map(|previous| previous.assignment);
+        let mut holders = vec![self.current.owner];
+        holders.extend(earlier.map(|earlier| earlier.owner));
+        holders.push(self.current.successor);
+        holders.extend(earlier.map(|earlier| earlier.successor));
+        let mut seen = BTreeSet::new();
+        holders.retain(|holder| seen.insert(*holder));
+        holders
+    }
+
     fn previous_after(
         &self,
         owner: Incarnation,
--- a/crates/standin/src/bench/load.rs
+++ b/crates/standin/src/bench/load.rs
@@ -1,6 +1,7 @@
 //! Open-loop load on a deployment, with latencies counted from the intended moment of sending.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -9,7 +10,8 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::environment::{Answer, Environment, Http};
+use crate::environment::Environment;
+use crate::http::{Answer, Http};
 use crate::shapes::Deployment;
 
 /// Time before measuring, in which shares are borrowed and upstreams warm up.
@@ -127,11 +129,6 @@
     }
 }
 
-struct Target {
-    address: std::net::SocketAddr,
-    is_down: bool,
-}
-
 /// Runs the plan on a started deployment.
 pub async fn run(environment: &Environment, deployment: &Deployment, plan: &Plan) -> Report {
     slow_down(environment, deployment, plan).await;
@@ -193,14 +190,12 @@
     environment: &Environment,
     deployment: &Deployment,
     plan: &Plan,
-) -> BTreeMap<&'static str, Vec<Target>> {
+) -> BTreeMap<&'static str, Vec<SocketAddr>> {
     let services = deployment.services.iter().map(|service| {
         let daemons = environment.daemons.iter();
         let targets = daemons.filter(|daemon| !plan.direct || daemon.service == service.name);
-        let targets = targets.map(|daemon| Target {
-            address: if plan.direct { daemon.upstream } else { daemon.callers },
-            is_down: false,
-        });
+        let targets =
+            targets.map(|daemon| if plan.direct { daemon.upstream } else { daemon.callers });
         (service.name, targets.collect())
     });
     services.collect()
@@ -210,7 +205,7 @@
     workspace: &'static str,
     rate: f64,
     random: fastrand::Rng,
-    callers: BTreeMap<&'static str, Vec<Target>>,
+    callers: BTreeMap<&'static str, Vec<SocketAddr>>,
     http: Http,
 }
 
@@ -234,20 +229,12 @@
                 let latency = at.elapsed();
                 if at >= start {
                     let mut report = report.lock().expect("no holder panics");
-                    let groups = [report.services.entry("all".to_owned()).or_default()];
-                    for group in groups {
+                    for service in ["all", service] {
+                        let group = report.services.entry(service.to_owned()).or_default();
                         group.note(latency, outcome(&answer));
                     }
-                    report
-                        .services
-                        .entry(service.to_owned())
-                        .or_default()
-                        .note(latency, outcome(&answer));
-                    report
-                        .workspaces
-                        .entry(workspace.to_owned())
-                        .or_default()
-                        .note(latency, outcome(&answer));
+                    let group = report.workspaces.entry(workspace.to_owned()).or_default();
+                    group.note(latency, outcome(&answer));
                 }
             }));
         }
@@ -260,8 +247,7 @@
         let services: Vec<&'static str> = self.callers.keys().copied().collect();
         let service = services[self.random.usize(..services.len())];
         let targets = &self.callers[service];
-        let up: Vec<&Target> = targets.iter().filter(|target| !target.is_down).collect();
-        let address = up[self.random.usize(..up.len())].address;
+        let address = targets[self.random.usize(..targets.len())];
         let number = self.random.u64(..KEYS);
         let method = if number.is_multiple_of(WRITES) { Method::POST } else { Method::GET };
         Request { service, address, method, path: format!("/{service}/k{number}") }
@@ -270,7 +256,7 @@
 
 struct Request {
     service: &'static str,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     method: Method,
     path: String,
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod environment;
+pub mod http;
 pub mod platform;
 pub mod relay;
 pub mod shapes;
