Keep the slice table of the fleet to come within a value of the platform

Ruled out: several objects, which would need an order between them; a binary encoding, which operators couldn't read. Change: a service is divided into some 240 slices, 8 to 24 a server, in place of 24 a server always; an assignment is stored as three numbers. Churn counts the owner of a split slice's range, not its new identity.

--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -16,6 +16,20 @@
     pub since: TableVersion,
 }
 
+type Numbers = (Incarnation, Incarnation, TableVersion);
+
+impl From<Numbers> for Assignment {
+    fn from((owner, successor, since): Numbers) -> Assignment {
+        Assignment { owner, successor, since }
+    }
+}
+
+impl From<Assignment> for Numbers {
+    fn from(assignment: Assignment) -> Numbers {
+        (assignment.owner, assignment.successor, assignment.since)
+    }
+}
+
 /// The assignment before the present one, kept until a new holder is confirmed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Previous {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,5 +19,9 @@
 pub const QUOTA: &str = "_quota";
 /// Slices that the buckets are spread over.
 pub const QUOTA_SLICES: usize = 16;
-/// Slices for each server of a service when the service is first divided.
-pub const SLICES_PER_SERVER: usize = 24;
+/// Slices that a service is divided into at the least, as long as its servers are few.
+pub const SLICES_OF_A_SERVICE: usize = 240;
+/// Least number of slices for each server, below which slices are halved.
+pub const LEAST_SLICES_PER_SERVER: usize = 8;
+/// Most slices for each server when a service is first divided.
+pub const MOST_SLICES_PER_SERVER: usize = 24;
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cactushold_lease::{Incarnation, SliceId, Table};
+use cactushold_lease::{Incarnation, Slice, Table};
 
 /// Share of the key space by owner, of one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -13,7 +13,7 @@
     pub owners: usize,
 }
 
-fn spans<'a>(table: &'a Table, service: &str) -> impl Iterator<Item = (&'a SpanOf, u64)> {
+fn spans<'a>(table: &'a Table, service: &str) -> impl Iterator<Item = (&'a Slice, u64)> {
     let slices = table.services.get(service).map(Vec::as_slice).unwrap_or_default();
     slices.iter().enumerate().map(move |(at, slice)| {
         let end = slices.get(at + 1).map_or(u64::MAX, |next| next.start);
@@ -21,8 +21,6 @@
     })
 }
 
-type SpanOf = cactushold_lease::Slice;
-
 /// Imbalance of a service by share of the key space; nothing without slices.
 pub fn imbalance(table: &Table, service: &str) -> Option<Imbalance> {
     let mut shares: BTreeMap<Incarnation, f64> = BTreeMap::new();
@@ -37,12 +35,12 @@
 
 /// Share of a service's key space whose owner differs between two tables, from 0 to 1.
 pub fn moved(before: &Table, after: &Table, service: &str) -> f64 {
-    let owners: BTreeMap<SliceId, Incarnation> =
-        spans(before, service).map(|(slice, _)| (slice.id, slice.current.owner)).collect();
     let (mut moved, mut total) = (0.0, 0.0);
     for (slice, span) in spans(after, service) {
         total += span as f64;
-        if owners.get(&slice.id) != Some(&slice.current.owner) {
+        // A slice may have been split meanwhile, so that its identity is new.
+        let earlier = before.locate(service, slice.start).map(|found| found.current.owner);
+        if earlier != Some(slice.current.owner) {
             moved += span as f64;
         }
     }
--- a/crates/placement/src/revise.rs
+++ b/crates/placement/src/revise.rs
@@ -4,12 +4,13 @@
 
 use cactushold_lease::{Incarnation, Slice, SliceId, Table};
 
-use crate::{CONTROL, QUOTA, QUOTA_SLICES, SLICES_PER_SERVER, View, sponsors};
+use crate::{
+    CONTROL, LEAST_SLICES_PER_SERVER, MOST_SLICES_PER_SERVER, QUOTA, QUOTA_SLICES,
+    SLICES_OF_A_SERVICE, View, sponsors,
+};
 
 /// Members that a table needs at least: an owner and its two sponsors.
 const LEAST_MEMBERS: usize = 3;
-/// Slices for each server below which slices are halved.
-const LEAST_SLICES_PER_SERVER: usize = 8;
 
 /// The next table, or nothing if no change is due. A pure function of its arguments, so that
 /// every leader decides alike.
@@ -52,13 +53,12 @@
 
 /// Creates the slices of services that have none yet.
 fn divide(table: &mut Table, view: &View) {
-    let mut services: BTreeMap<&str, usize> = BTreeMap::from([(CONTROL, 1), (QUOTA, QUOTA_SLICES)]);
-    for (id, peer) in &view.registered {
-        if view.is_live(*id) {
-            *services.entry(&peer.service).or_default() += SLICES_PER_SERVER;
-        }
+    let mut servers: BTreeMap<&str, usize> = BTreeMap::new();
+    for (_, peer) in view.registered.iter().filter(|(id, _)| view.is_live(**id)) {
+        *servers.entry(&peer.service).or_default() += 1;
     }
-    for (name, count) in services {
+    let divided = servers.into_iter().map(|(name, servers)| (name, slices_for(servers)));
+    for (name, count) in [(CONTROL, 1), (QUOTA, QUOTA_SLICES)].into_iter().chain(divided) {
         if table.services.contains_key(name) {
             continue;
         }
@@ -76,6 +76,12 @@
     }
 }
 
+/// How many slices a service with this many servers is first divided into.
+fn slices_for(servers: usize) -> usize {
+    let each = SLICES_OF_A_SERVICE / servers.max(1);
+    servers * each.clamp(LEAST_SLICES_PER_SERVER, MOST_SLICES_PER_SERVER)
+}
+
 /// Halves the widest slices of services that have grown, a bounded number at a time.
 fn refine(table: &mut Table, view: &View) {
     for name in
