--- a/crates/attempt/src/kind.rs
+++ b/crates/attempt/src/kind.rs
@@ -1,7 +1,8 @@
 //! The closed list of error kinds and the table from kind to answer.
 
 /// Whether the request ran.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// It surely did not run.
@@ -13,7 +14,8 @@
 }
 
 /// What a caller should do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Advice {
     /// Repeat after the time in `Retry-After`, at once without one.
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -8,7 +8,8 @@
 pub(crate) const REMEMBERED_CHANGES: usize = 200;
 
 /// A service and its servers' limits.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Whether requests name a key that one server owns.
@@ -30,7 +31,8 @@
 }
 
 /// An availability zone.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Zone {
     /// Whether operators took it out.
@@ -38,7 +40,8 @@
 }
 
 /// A workspace key that was granted.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Name by which operators withdraw it.
@@ -48,7 +51,8 @@
 }
 
 /// A workspace with its keys and limits, which hold across all instances together.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// Requests per second.
@@ -68,7 +72,8 @@
 }
 
 /// An accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Change {
     /// Version that it made.
     pub version: Version,
@@ -79,7 +84,8 @@
 }
 
 /// The whole configuration.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Config {
     /// Version of this content; 0 before the first patch.
     pub version: Version,
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -4,7 +4,8 @@
 use crate::{Change, Config, Hash, Key, PatchId, Service, Version, Workspace, Zone};
 
 /// One step of a patch.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "op", rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Operation {
     /// Creates or replaces a service.
@@ -67,7 +68,8 @@
 }
 
 /// A change that an operator asks for.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Patch {
     /// Identity; sending the patch again under it changes nothing more.
@@ -79,7 +81,8 @@
 }
 
 /// Why a patch is refused.
-#[derive(Clone, Debug, PartialEq, thiserror::Error, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(thiserror::Error, serde::Serialize, serde::Deserialize)]
 #[serde(tag = "refusal", rename_all = "kebab-case")]
 pub enum Refusal {
     /// The base isn't the current version.
@@ -105,7 +108,8 @@
 }
 
 /// What came of a patch.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "outcome", rename_all = "kebab-case")]
 pub enum Outcome {
     /// In force from this version on, and never reverted.
--- a/crates/config/src/secret.rs
+++ b/crates/config/src/secret.rs
@@ -4,7 +4,8 @@
 use subtle::ConstantTimeEq;
 
 /// SHA-256 of a workspace key, in lower-case hex.
-#[derive(Clone, Debug, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Hash(String);
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -4,7 +4,8 @@
 use std::path::{Path, PathBuf};
 
 /// Who this daemon is.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Instance {
     /// Name of the instance, unique in the deployment.
@@ -16,7 +17,8 @@
 }
 
 /// Where the daemon listens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Callers' HTTP.
@@ -31,7 +33,8 @@
 }
 
 /// The platform's object API.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
     /// Address of the API.
@@ -39,7 +42,8 @@
 }
 
 /// The upstream beside the daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Upstream {
     /// Address of its HTTP.
@@ -47,7 +51,8 @@
 }
 
 /// Form of the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Format {
     /// One line of text an event.
@@ -58,7 +63,8 @@
 }
 
 /// Logging.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     /// Form of the log.
@@ -67,7 +73,8 @@
 }
 
 /// Limits of this daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Worker threads for requests.
@@ -101,7 +108,8 @@
 }
 
 /// All settings of a daemon.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Who this daemon is.
@@ -124,7 +132,8 @@
 }
 
 /// Why settings are refused: the file, the key and a hint, on one line.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The file can't be read.
     #[error("{}: {source}; hint: name a readable TOML file", path.display())]
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -8,7 +8,8 @@
 use crate::output::{print, print_json, row, table};
 
 /// What the commands read of a daemon's state.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Status {
     instance: String,
     incarnation: u64,
@@ -28,7 +29,8 @@
 }
 
 /// A member, as the slice table names it.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Member {
     instance: String,
     incarnation: u64,
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -7,7 +7,8 @@
 use crate::exit::Exit;
 
 /// An error that ends the command.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// No daemon answered.
     #[error("no daemon answers at {addresses}; hint: name one with --daemon or CACTUSHOLD_DAEMON")]
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -16,7 +16,8 @@
 use crate::shared::{Command, Shared};
 
 /// State of one daemon, as operators see it.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Status {
     /// Name of the instance.
     pub instance: String,
@@ -51,7 +52,8 @@
 }
 
 /// A member, as the table names it.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// Name of the instance.
     pub instance: String,
--- a/crates/daemon/src/control/registration.rs
+++ b/crates/daemon/src/control/registration.rs
@@ -16,7 +16,8 @@
 const CHECK: Duration = Duration::from_millis(200);
 
 /// What an instance announces.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub(super) struct Registration {
     /// Tells the writes of one process from another's.
     pub nonce: u64,
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -7,7 +7,8 @@
 use crate::exit::Exit;
 
 /// An error that ends the process.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The settings were refused.
     #[error(transparent)]
--- a/crates/daemon/src/guard/handover.rs
+++ b/crates/daemon/src/guard/handover.rs
@@ -15,7 +15,8 @@
 use crate::shared::View;
 
 /// What the old holder knows of a slice's keys.
-#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Handover {
     /// For how long the old holder itself can't exclude earlier runs.
     pub unsure: Duration,
@@ -25,7 +26,8 @@
     records: Vec<Record>,
 }
 
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Record {
     key: String,
     position: u64,
@@ -33,7 +35,8 @@
     answer: Option<Answer>,
 }
 
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Answer {
     status: u16,
     headers: Vec<(String, Vec<u8>)>,
--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -14,7 +14,8 @@
 type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, Cut>>>>;
 
 /// The answer broke off; the caller's connection is closed before the end of the body.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("the upstream's answer was cut off")]
 pub struct Cut;
 
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -35,9 +35,8 @@
 pub type SliceId = u32;
 
 /// The number of a lease: a sponsor answers only to the number it knows.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Number {
     /// The incarnation that the lease protects.
     pub owner: Incarnation,
@@ -46,9 +45,8 @@
 }
 
 /// Orders the holders of one slice; strictly rising from holder to holder.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Fence {
     /// Table version that made the assignment.
     pub since: TableVersion,
--- a/crates/lease/src/member/mod.rs
+++ b/crates/lease/src/member/mod.rs
@@ -26,7 +26,8 @@
 }
 
 /// What a member tells the leader.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// The reporting member.
     pub member: Incarnation,
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -3,19 +3,8 @@
 use crate::{ConfigVersion, Incarnation, Number, SliceId, TableVersion, Time};
 
 /// The newest versions that a process knows.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Known {
     /// Newest slice table.
     pub table: TableVersion,
--- a/crates/lease/src/table.rs
+++ b/crates/lease/src/table.rs
@@ -6,7 +6,9 @@
 use crate::{Epoch, Incarnation, SliceId, TableVersion};
 
 /// Who owns a slice and who succeeds, since which table version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(into = "Numbers", from = "Numbers")]
 pub struct Assignment {
     /// Owner.
     pub owner: Incarnation,
@@ -31,7 +33,8 @@
 }
 
 /// The assignment before the present one, kept until a new holder is confirmed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Previous {
     /// What was in force.
     pub assignment: Assignment,
@@ -40,7 +43,8 @@
 }
 
 /// A range of key hashes with its assignment.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Slice {
     /// Identity.
     pub id: SliceId,
@@ -60,7 +64,8 @@
 }
 
 /// The sponsors named for one owner.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Grant {
     /// Counts the owner's sponsor sets.
     pub epoch: Epoch,
@@ -69,7 +74,8 @@
 }
 
 /// What others need to know about a member.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Peer {
     /// Name of the instance.
     pub instance: String,
@@ -87,7 +93,8 @@
 }
 
 /// A member's entry in the table.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Replica {
     /// Where and what it is.
     pub peer: Peer,
@@ -96,7 +103,8 @@
 }
 
 /// Why an edit of the table is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum EditError {
     /// No slice has this identity.
     #[error("no slice {0}")]
@@ -116,7 +124,8 @@
 }
 
 /// The whole table. Edits raise the version and keep the rules that the machines rely on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Table {
     /// Version of this content.
     pub version: TableVersion,
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -1,7 +1,8 @@
 //! Why a call failed.
 
 /// Why a call to the platform failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// The call had no effect: it was refused, or never left this process.
     #[error("platform unavailable: {0}")]
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -4,7 +4,8 @@
 pub type Revision = u64;
 
 /// One object.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Object {
     /// Name, with a prefix for its kind.
     pub name: String,
@@ -15,7 +16,8 @@
 }
 
 /// Objects under a prefix.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Listing {
     /// Newest version in the store when the listing was made.
     pub revision: Revision,
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -44,7 +44,8 @@
 }
 
 /// State of a bucket on its way to a new owner.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct State {
     tokens: f64,
     blind: Duration,
--- a/crates/standin/src/bench/load.rs
+++ b/crates/standin/src/bench/load.rs
@@ -96,6 +96,8 @@
     pub services: BTreeMap<String, Group>,
     /// By workspace.
     pub workspaces: BTreeMap<String, Group>,
+    /// Processor time of all daemons for each request, in microseconds.
+    pub cpu_us: f64,
 }
 
 impl Report {
@@ -104,7 +106,11 @@
         let groups = |found: &BTreeMap<String, Group>| -> Value {
             found.iter().map(|(name, group)| (name.clone(), group.json())).collect()
         };
-        json!({ "services": groups(&self.services), "workspaces": groups(&self.workspaces) })
+        json!({
+            "services": groups(&self.services),
+            "workspaces": groups(&self.workspaces),
+            "cpu_us_per_request": self.cpu_us,
+        })
     }
 
     /// As a table.
@@ -125,6 +131,7 @@
                 group.failed
             );
         }
+        text += &format!("daemons' processor time a request: {:.0} us\n", self.cpu_us);
         text
     }
 }
@@ -148,13 +155,33 @@
         let (report, end) = (Arc::clone(&report), start + Duration::from_secs(plan.seconds));
         tasks.push(tokio::spawn(stream.run(start, end, report)));
     }
+    tokio::time::sleep_until(start).await;
+    let cpu = cpu_us(environment);
     if plan.zone_out {
         leave_and_return(environment, deployment, start, plan.seconds).await;
     }
     for task in tasks {
         task.await.expect("a stream");
     }
-    Arc::try_unwrap(report).expect("streams have ended").into_inner().expect("no holder panics")
+    let used = cpu_us(environment) - cpu;
+    let report = Arc::try_unwrap(report).expect("streams have ended");
+    let mut report = report.into_inner().expect("no holder panics");
+    let sent = report.services.get("all").map_or(0, |group| group.sent);
+    report.cpu_us = used / sent.max(1) as f64;
+    report
+}
+
+/// Processor time that all daemons have used, in microseconds.
+fn cpu_us(environment: &Environment) -> f64 {
+    let ticks_per_s = rustix::param::clock_ticks_per_second() as f64;
+    let ticks = environment.daemons.iter().map(|daemon| {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", daemon.pid()));
+        let stat = stat.unwrap_or_default();
+        // User and system time are the 12th and 13th field after the name in parentheses.
+        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+        fields.skip(11).take(2).filter_map(|field| field.parse::<f64>().ok()).sum::<f64>()
+    });
+    ticks.sum::<f64>() / ticks_per_s * 1e6
 }
 
 async fn slow_down(environment: &Environment, deployment: &Deployment, plan: &Plan) {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -19,7 +19,8 @@
 const MAX_VALUE: usize = 1 << 20;
 
 /// Faults that can be switched on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Every call is refused.
@@ -31,7 +32,8 @@
 }
 
 /// Calls counted by kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Calls {
     /// Gets and lists.
     pub reads: u64,
@@ -43,7 +45,8 @@
     pub limited: u64,
 }
 
-#[derive(Clone, serde::Serialize)]
+#[derive(Clone)]
+#[derive(serde::Serialize)]
 struct Object {
     name: String,
     revision: u64,
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -32,7 +32,8 @@
 }
 
 /// Faults that can be switched on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Nothing is answered.
@@ -50,7 +51,8 @@
 }
 
 /// One run in the log.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Run {
     /// Attempt under which the request came.
     pub attempt: String,
@@ -69,7 +71,8 @@
 }
 
 /// Counts that checks read.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Counts {
     /// Requests run.
     pub runs: u64,
--- a/crates/wire/src/datagram.rs
+++ b/crates/wire/src/datagram.rs
@@ -14,7 +14,8 @@
 const MAX_WORDS: usize = 256;
 
 /// Why a datagram can't be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// Not a valid encoding.
     #[error("malformed datagram: {0}")]
