Never say "not run" after an attempt that may have run

Cause, found by reading: after a first attempt of an idempotent request that may have run (connection lost), a later attempt's refusal ("shed, not run") was what the caller got; and a refusal of one of two parallel attempts ended the request while the other was under way. Both could make "not run" untrue. Change: a doubtful failure outweighs later sure ones; while another attempt is under way, its end is awaited. Proof: every pair of kinds in attempt/rules::not_run_is_never_said_after_an_attempt_that_may_have_run. Conclusion: true for all pairs of the closed table.

--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -13,5 +13,5 @@
     idempotency::{Entry, Recorded, Records, created_at},
     kind::{Advice, Kind, Ran},
     percentile::Percentile,
-    retry::{Backoff, Phase, Verdict, may_retry},
+    retry::{Backoff, Phase, Verdict, may_retry, outweighs},
 };
--- a/crates/attempt/src/retry.rs
+++ b/crates/attempt/src/retry.rs
@@ -34,6 +34,19 @@
     kind.is_transient() && (idempotent || kind.ran() == Ran::No)
 }
 
+/// Whether an earlier failure has to be told in place of a later one: what may have run stays in
+/// doubt, whatever later attempts say.
+///
+/// ```
+/// use cactushold_attempt::{Kind, outweighs};
+/// assert!(outweighs(Kind::Broken, Kind::Shed), "the first attempt may have run");
+/// assert!(!outweighs(Kind::Shed, Kind::Broken));
+/// assert!(!outweighs(Kind::Shed, Kind::NotOwner));
+/// ```
+pub fn outweighs(earlier: Kind, later: Kind) -> bool {
+    earlier.ran() != Ran::No && later.ran() == Ran::No
+}
+
 /// Capped exponential back-off with full jitter.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff {
--- a/crates/attempt/tests/rules.rs
+++ b/crates/attempt/tests/rules.rs
@@ -5,6 +5,7 @@
 
 use cactushold_attempt::{
     Advice, Backoff, Candidate, Choice, Kind, Ran, Recorded, Records, Score, Verdict, may_retry,
+    outweighs,
 };
 
 #[test]
@@ -75,3 +76,14 @@
     records.end("l", Recorded::Fresh, now);
     assert_eq!(records.begin("l", 0, 1, now), Recorded::Fresh, "it surely did not run");
 }
+
+#[test]
+fn not_run_is_never_said_after_an_attempt_that_may_have_run() {
+    for &first in Kind::ALL {
+        for &second in Kind::ALL {
+            let said = if outweighs(first, second) { first } else { second };
+            let is_sure = first.ran() == Ran::No && second.ran() == Ran::No;
+            assert_eq!(said.ran() == Ran::No, is_sure, "{first:?}, then {second:?}");
+        }
+    }
+}
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactushold_attempt::{Backoff, Kind, Verdict, may_retry};
+use cactushold_attempt::{Backoff, Kind, Verdict, may_retry, outweighs};
 use cactushold_lease::{Incarnation, Time};
 use futures::stream::{FuturesUnordered, StreamExt};
 
@@ -70,17 +70,14 @@
         let hedge = plan.hedge_delay(running.len());
         tokio::select! {
             Some(outcome) = running.next(), if !running.is_empty() => {
-                match plan.judge(outcome) {
+                match plan.judge(outcome, !running.is_empty()) {
                     Step::Finish(answer) => return *answer,
-                    Step::Wait if !running.is_empty() => {}
-                    Step::Wait => return Err(plan.last),
+                    Step::Wait => {}
                     Step::Again(pause) => {
-                        if running.is_empty() {
-                            if !pause.is_zero() {
-                                tokio::time::sleep(pause).await;
-                            }
-                            running.push(attempt(worker, &request, plan.target()?));
+                        if !pause.is_zero() {
+                            tokio::time::sleep(pause).await;
                         }
+                        running.push(attempt(worker, &request, plan.target()?));
                     }
                 }
             }
@@ -99,8 +96,11 @@
 }
 
 enum Step {
+    /// The caller gets this.
     Finish(Box<Answer>),
+    /// Another attempt follows after a pause.
     Again(Duration),
+    /// Another attempt is under way.
     Wait,
 }
 
@@ -110,6 +110,7 @@
     targets: Targets,
     failures: u32,
     hedged: bool,
+    /// What is told if no attempt succeeds.
     last: Refusal,
 }
 
@@ -143,7 +144,7 @@
         may.then(|| self.worker.usual_latency(&self.request.service))
     }
 
-    fn judge(&mut self, outcome: Outcome) -> Step {
+    fn judge(&mut self, outcome: Outcome, is_running: bool) -> Step {
         let refusal = match outcome.answer {
             Ok(reply) => {
                 self.targets.learn(&self.worker.shared, outcome.target);
@@ -155,16 +156,29 @@
         self.targets.unlearn(&self.worker.shared, outcome.target);
         self.failures += 1;
         let kind = refusal.kind;
-        let says_more = kind != Kind::NotOwner || self.last.kind == Kind::NoUpstream;
-        if says_more {
-            self.last = refusal;
+        self.note(refusal);
+        // As long as another attempt is under way, nothing is known for sure.
+        if is_running {
+            return Step::Wait;
         }
         if !may_retry(kind, self.request.idempotent) {
-            return Step::Finish(Box::new(Err(self.last.clone())));
+            return self.give_up();
         }
         self.pause(kind)
     }
 
+    /// Keeps what says most. A misdirection says less than that there is no owner.
+    fn note(&mut self, refusal: Refusal) {
+        let says_more = refusal.kind != Kind::NotOwner || self.last.kind == Kind::NoUpstream;
+        if says_more && !outweighs(self.last.kind, refusal.kind) {
+            self.last = refusal;
+        }
+    }
+
+    fn give_up(&self) -> Step {
+        Step::Finish(Box::new(Err(self.last.clone())))
+    }
+
     /// A misdirected request costs no upstream anything and is free, as is the loss of a
     /// connection for each request on it; others need the budget.
     fn pause(&mut self, kind: Kind) -> Step {
@@ -174,7 +188,7 @@
             _ => false,
         };
         if !is_free && !self.worker.budget.borrow_mut().spend() {
-            return Step::Finish(Box::new(Err(self.last.clone())));
+            return self.give_up();
         }
         metric::retried(kind);
         if kind == Kind::NotOwner && !self.targets.is_round_over() {
@@ -185,7 +199,7 @@
         let idempotent = self.request.idempotent;
         match BACKOFF.verdict(kind, idempotent, self.failures, left, &mut random) {
             Verdict::Again(pause) => Step::Again(pause),
-            Verdict::Say(_) => Step::Wait,
+            Verdict::Say(_) => self.give_up(),
         }
     }
 
