Keep an owner's slices under a changed successor, close buckets that moved

After a cut, four slices stayed unserved. Cause: the heir of a lost owner was named owner and, before it learned that, given another successor; as the present and the earlier owner in one it waited for its own yield. Change: a settled assignment entitles its owner here as well. Golden session: failed before (no holder), passes after.

2. 105 requests of a workspace ran in 4.1 s, against 102 by its envelope. Cause, from a trace of runs and waits: a bucket moved, and for 250 ms its new holder gave tokens beside those that the old one had given in advance. Change: tokens of a new bucket after a planned change come in 250 ms later; a slice whose buckets were handed over is closed to requests that still rely on it; waits are rounded up.

Also a session that kills the leader at its write, before and after it took effect, twice in a row: passes.

--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -148,9 +148,9 @@
         mut results: peer::RecordsResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let slice = params.get_slice();
+        let (slice, since) = (params.get_slice(), params.get_since());
         let (sender, answer) = oneshot::channel();
-        let question = Command::HasGivenUp(slice, params.get_since(), sender);
+        let question = Command::HasGivenUp(slice, since, sender);
         self.shared.commands.send(question).ok();
         if answer.await != Ok(true) {
             return Ok(());
@@ -159,7 +159,7 @@
         let mut handover = Handover::collect(&self.shared.guard(), &view, slice, clock::now());
         if let Some(handover) = &mut handover {
             let is_moved = |name: &str| is_bucket_of(&view, name, slice);
-            handover.buckets = self.shared.quota().export(is_moved, clock::now());
+            handover.buckets = self.shared.quota().export(slice, since, is_moved, clock::now());
         }
         let content = serde_json::to_vec(&handover.unwrap_or_default());
         results.get().set_content(&content.map_err(|e| capnp::Error::failed(e.to_string()))?);
@@ -221,7 +221,8 @@
             }
             Answer::Token(Ok(wait)) => {
                 out.set_fresh_milli(MILLI as u64);
-                out.set_wait_ms(wait.as_millis() as u32);
+                // Rounded up: a token must not be used before it has come in.
+                out.set_wait_ms(wait.as_micros().div_ceil(1_000) as u32);
             }
             Answer::Token(Err(wait)) => out.set_wait_ms(wait.as_millis() as u32 + 1),
         }
@@ -240,5 +241,5 @@
     let fence = view.fence(slice, now)?;
     let acquired = view.acquired.get(&slice).copied()?;
     let valid_until = view.valid_until;
-    Some(Owned { fence, acquired, valid_until, config: &view.config, now })
+    Some(Owned { slice, fence, acquired, valid_until, config: &view.config, now })
 }
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cactushold_config::Config;
-use cactushold_lease::{Fence, Incarnation, Time};
-use cactushold_quota::{Bucket, Demand, Limits, Loan, Share, State, Terms};
+use cactushold_lease::{Fence, Incarnation, SliceId, TableVersion, Time};
+use cactushold_quota::{ADVANCE, Bucket, Demand, Limits, Loan, Share, State, Terms};
 
 /// Weight of the latest interval in the demand that is reported.
 const SMOOTHING: f64 = 0.5;
@@ -52,6 +52,8 @@
     buckets: HashMap<String, (Fence, Bucket)>,
     uses: HashMap<String, Use>,
     measured_at: Time,
+    /// Slices that were handed over, and the table version that gave them to another holder.
+    closed: HashMap<SliceId, TableVersion>,
 }
 
 impl Ledger {
@@ -115,8 +117,16 @@
         Some(self.bucket(workspace, owned)?.take(now, until))
     }
 
-    /// Takes the buckets of workspaces out, for their new owner.
-    pub fn export(&mut self, is_moved: impl Fn(&str) -> bool, now: Time) -> Vec<(String, State)> {
+    /// Takes the buckets of a slice out, for its new owner since table version `since`. A request
+    /// that still relies on the old ownership finds the slice closed.
+    pub fn export(
+        &mut self,
+        slice: SliceId,
+        since: TableVersion,
+        is_moved: impl Fn(&str) -> bool,
+        now: Time,
+    ) -> Vec<(String, State)> {
+        self.closed.insert(slice, since);
         let moved: Vec<String> =
             self.buckets.keys().filter(|name| is_moved(name)).cloned().collect();
         let taken = moved.into_iter().filter_map(|name| {
@@ -142,9 +152,13 @@
     }
 
     fn bucket(&mut self, workspace: &str, owned: Owned<'_>) -> Option<&mut Bucket> {
-        let Owned { fence, acquired, config, now, .. } = owned;
+        let Owned { slice, fence, acquired, config, now, .. } = owned;
+        if self.closed.get(&slice).is_some_and(|since| fence.since < *since) {
+            return None;
+        }
         let limits = limits(config, workspace)?;
-        let fresh = || (fence, Bucket::new(limits, Terms::default(), acquired));
+        let start = first_token(fence, acquired);
+        let fresh = || (fence, Bucket::new(limits, Terms::default(), start));
         let entry = self.buckets.entry(workspace.to_owned()).or_insert_with(fresh);
         if entry.0 != fence {
             *entry = fresh();
@@ -159,9 +173,18 @@
     Some(Limits { rate: configured.rate, burst: configured.burst })
 }
 
+/// From when on tokens of a new bucket come in. A holder that was lost had stopped for a lease; one
+/// that gave the slice up may have given tokens in advance.
+fn first_token(fence: Fence, acquired: Time) -> Time {
+    let is_planned = fence.takeover == 0 && acquired > Time::ZERO;
+    if is_planned { acquired + ADVANCE } else { acquired }
+}
+
 /// Proof that a bucket is owned here.
 #[derive(Clone, Copy)]
 pub struct Owned<'a> {
+    /// Slice that holds the bucket.
+    pub slice: SliceId,
     /// Fence of the bucket's slice.
     pub fence: Fence,
     /// When the slice was acquired.
--- a/crates/daemon/tests/system/configuration.rs
+++ b/crates/daemon/tests/system/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactushold_standin::environment::Environment;
 use serde_json::{Value, json};
 
 use crate::cases::{Session, describe, leader, outcome, small};
@@ -121,3 +122,50 @@
     session.answer("at the frozen daemon, after it caught up", &answer);
     insta::assert_snapshot!(session.text());
 }
+
+/// Sends a patch again under its id until a leader has decided it.
+async fn decided(environment: &Environment, entry: usize, id: &str, base: u64) -> Value {
+    loop {
+        let outcome = environment.patch(entry, id, base, zone("x", base % 2 == 0)).await;
+        let is_open = outcome["outcome"] == "unknown";
+        if !is_open && outcome["reason"]["refusal"] != "no-leader" {
+            return outcome;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_killed_at_its_write_twice_in_a_row_leaves_one_history() {
+    // The write waits at the platform, or has taken effect and its answer doesn't come.
+    for fault in [json!({ "slow_ms": 1_000 }), json!({ "lose_answers": 1 })] {
+        let mut environment = small().await;
+        for base in 1..=2 {
+            let first = leader(&environment).await;
+            let entry = (first + 1) % 5;
+            environment.platform_faults(fault.clone()).await;
+            let id = format!("at-the-write-{base}");
+            let content = json!({
+                "id": id, "base": base, "operations": zone("x", base % 2 == 0),
+            });
+            let (http, admin) = (environment.http.clone(), environment.daemons[first].admin);
+            let sending = tokio::spawn(async move {
+                let method = "POST".parse().expect("a method");
+                http.send(method, admin, "/patch", &[], content.to_string()).await
+            });
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            environment.daemons[first].kill();
+            let answer = sending.await.expect("the operator's task");
+            assert!(answer.is_err(), "nothing is said: {}", describe(&answer));
+            environment.platform_faults(json!({})).await;
+            environment
+                .until("another leader", |states| states.iter().any(|s| s["leads"] == true))
+                .await;
+            let outcome_again = decided(&environment, entry, &id, base).await;
+            assert_eq!(outcome(&outcome_again), format!("accepted {}", base + 1), "{fault}");
+            environment.restart(first);
+            environment.until_settled().await;
+            environment.until_version(base + 1).await;
+        }
+    }
+}
--- a/crates/daemon/tests/system/rates.rs
+++ b/crates/daemon/tests/system/rates.rs
@@ -1,17 +1,15 @@
 //! Rates over all daemons together, cold starts, `Idempotency-Key`s through moves and losses.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use cactushold_standin::environment::Environment;
 use cactushold_standin::shapes::{Deployment, SMALL};
-use cactushold_standin::upstream::Shape;
+use cactushold_standin::upstream::{Shape, now_ms};
 use serde_json::json;
 
 use crate::cases::{RUN, Session, by_tag, owner, small};
 
-/// Requests whose way from daemon to upstream may differ in length.
-const SLACK: f64 = 3.0;
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_workspace_over_its_rate_stays_inside_its_envelope_and_others_keep_theirs() {
     let mut environment = small().await;
@@ -19,6 +17,7 @@
     let mut tasks = Vec::new();
     let mut count = 0;
     let mut killed = false;
+    let mut sent = HashMap::new();
     while started.elapsed() < Duration::from_secs(6) {
         if started.elapsed() > Duration::from_secs(2) && !killed {
             killed = true;
@@ -30,6 +29,7 @@
             let address = environment.daemons[index].callers;
             let http = environment.http.clone();
             let tag = format!("{workspace}-{count}");
+            sent.insert(tag.clone(), now_ms());
             tasks.push(tokio::spawn(async move {
                 let key = format!("Bearer {}", Deployment::key(workspace));
                 let headers = [
@@ -55,20 +55,20 @@
         }
     }
     let runs = environment.runs().await;
-    let mut times: Vec<f64> = runs
-        .iter()
-        .filter(|run| run.workspace == "tiny")
-        .map(|run| run.started_ms as f64 / 1_000.0)
-        .collect();
-    times.sort_by(f64::total_cmp);
-    for (first, from) in times.iter().enumerate() {
-        for (last, to) in times.iter().enumerate().skip(first) {
-            let count = (last - first + 1) as f64;
-            let envelope = 20.0 * (to - from) + 20.0;
-            assert!(count <= envelope + SLACK, "{count} runs in {} s", to - from);
+    let mut tiny_runs: Vec<_> = runs.iter().filter(|run| run.workspace == "tiny").collect();
+    tiny_runs.sort_by_key(|run| run.started_ms);
+    for first in 0..tiny_runs.len() {
+        // A request was admitted between its sending and its run, so all of a window's were
+        // admitted between the earliest sending and the last run.
+        let mut earliest = u64::MAX;
+        for (count, run) in tiny_runs[first..].iter().enumerate() {
+            earliest = earliest.min(sent[&run.tag]);
+            let seconds = (run.started_ms + 1 - earliest) as f64 / 1_000.0;
+            let count = (count + 1) as f64;
+            assert!(count <= 20.0 * seconds + 20.0, "{count} admitted in {seconds} s");
         }
     }
-    let tiny = times.len() as f64;
+    let tiny = tiny_runs.len() as f64;
     assert!(tiny >= 20.0 * (elapsed - 2.0), "and it gets its rate: {tiny} in {elapsed} s");
     assert_eq!(club.0, club.1, "the other workspace is refused nothing");
 }
--- a/crates/lease/src/claim.rs
+++ b/crates/lease/src/claim.rs
@@ -106,6 +106,10 @@
         let fence = Fence { since: slice.current.since, takeover: 0 };
         match slice.previous {
             None => Some(fence),
+            // Only the successor changed; a settled assignment entitles its owner.
+            Some(previous) if self.as_earlier_owner(me, slice.id, previous).is_some() => {
+                Some(fence)
+            }
             Some(previous) => self.has_stopped(me, slice.id, previous).then_some(fence),
         }
     }
--- a/crates/lease/tests/session.rs
+++ b/crates/lease/tests/session.rs
@@ -121,3 +121,18 @@
     assert!(matches!(holders[..], [(5, Holding::Serving(_))]), "{holders:?}\n{}", session.text);
     insta::assert_snapshot!(session.text);
 }
+
+#[test]
+fn an_owner_that_never_learned_of_its_assignment_keeps_it_under_another_successor() {
+    let mut session = Session::new();
+    session.act("the owner of slice 0 is replaced", Action::Restart(0));
+    session.act("its successor is named owner", Action::Assign(0, 1, 1, 3));
+    session.act("and before it learns that, its successor", Action::Assign(0, 1, 2, 3));
+    for node in 0..NODES as u8 {
+        session.world.apply(&Action::Table(node));
+    }
+    session.pass("half a second later", 500);
+    let holders = session.world.holders(0);
+    assert!(matches!(holders[..], [(2, Holding::Serving(_))]), "{holders:?}\n{}", session.text);
+    insta::assert_snapshot!(session.text);
+}
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -17,7 +17,7 @@
 /// Rates below this are not lent; their requests ask one by one.
 const LEAST_LOAN_PER_S: f64 = 2.0;
 /// A token that comes in this soon is given in advance.
-const WORTH_WAITING: Duration = Duration::from_millis(250);
+pub const ADVANCE: Duration = Duration::from_millis(250);
 /// The longest wait told.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 /// Rate that is assumed free at the least when a wait is computed.
@@ -84,7 +84,8 @@
 }
 
 impl Bucket {
-    /// A bucket whose ownership was acquired at `now`. It starts without tokens and lends nothing
+    /// A bucket whose ownership was acquired at `now`, which may be in the future: tokens come in
+    /// from then on. It starts without tokens and lends nothing
     /// new until loans of an earlier owner have ended.
     pub fn new(limits: Limits, terms: Terms, now: Duration) -> Bucket {
         Bucket {
@@ -116,7 +117,8 @@
         let free = (self.limits.rate - self.lendable_rate()).max(LEAST_FREE_PER_S);
         let missing = (1.0 - self.tokens).max(0.0);
         let wait = Duration::from_secs_f64((missing / free).min(LONGEST_WAIT.as_secs_f64()));
-        if wait > WORTH_WAITING.min(until.saturating_sub(now)) {
+        let wait = wait + self.updated.saturating_sub(now);
+        if wait > ADVANCE.min(until.saturating_sub(now)) {
             return Err(wait);
         }
         self.tokens -= 1.0;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -9,7 +9,7 @@
 mod terms;
 
 pub use crate::{
-    bucket::{Bucket, Demand, Limits, State},
+    bucket::{ADVANCE, Bucket, Demand, Limits, State},
     share::{Loan, Share},
     terms::Terms,
 };
