--- a/crates/daemon/tests/system/configuration.rs
+++ b/crates/daemon/tests/system/configuration.rs
@@ -126,7 +126,7 @@
 /// Sends a patch again under its id until a leader has decided it.
 async fn decided(environment: &Environment, entry: usize, id: &str, base: u64) -> Value {
     loop {
-        let outcome = environment.patch(entry, id, base, zone("x", base % 2 == 0)).await;
+        let outcome = environment.patch(entry, id, base, zone("x", base.is_multiple_of(2))).await;
         let is_open = outcome["outcome"] == "unknown";
         if !is_open && outcome["reason"]["refusal"] != "no-leader" {
             return outcome;
@@ -146,7 +146,7 @@
             environment.platform_faults(fault.clone()).await;
             let id = format!("at-the-write-{base}");
             let content = json!({
-                "id": id, "base": base, "operations": zone("x", base % 2 == 0),
+                "id": id, "base": base, "operations": zone("x", base.is_multiple_of(2)),
             });
             let (http, admin) = (environment.http.clone(), environment.daemons[first].admin);
             let sending = tokio::spawn(async move {
