--- a/crates/daemon/tests/system/configuration.rs
+++ b/crates/daemon/tests/system/configuration.rs
@@ -140,7 +140,7 @@
     // The write waits at the platform, or has taken effect and its answer doesn't come.
     for fault in [json!({ "slow_ms": 1_000 }), json!({ "lose_answers": 1 })] {
         let mut environment = small().await;
-        for base in 1..=2 {
+        for base in 1_u64..=2 {
             let first = leader(&environment).await;
             let entry = (first + 1) % 5;
             environment.platform_faults(fault.clone()).await;
