--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,11 +1,13 @@
 //! Keeps an upstream alive: slots, a fair queue with deadlines, and a ramp for cold starts.
 
 mod gate;
+mod pace;
 mod queue;
 mod ramp;
 
 pub use crate::{
-    gate::{Arrival, Gate, Load},
+    gate::{Arrival, Gate, Load, Visit},
+    pace::Pace,
     queue::{Queue, Refusal, Waiting},
     ramp::{Ramp, Signal},
 };
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,4 +1,4 @@
-//! A bounded queue that serves workspaces by weight and drops what is past its deadline.
+//! A bounded queue: by rank, fair between workspaces, earliest goal first.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -13,8 +13,8 @@
 pub enum Refusal {
     /// No room, for anyone or for this workspace.
     Full,
-    /// Its deadline passed.
-    Expired,
+    /// Its deadline passed, or it can't be met; tells when there will be room.
+    Expired(Duration),
 }
 
 /// A request that waits.
@@ -22,10 +22,36 @@
 pub struct Waiting {
     /// Its ticket.
     pub ticket: Ticket,
+    /// Rank; 0 comes first.
+    pub rank: u8,
+    /// When an answer loses worth.
+    pub goal: Duration,
     /// Deadline.
     pub deadline: Duration,
+    /// Time that its run is expected to take.
+    pub work: Duration,
 }
 
+impl Waiting {
+    /// Place among requests of the same workspace.
+    fn order(&self) -> (u8, Duration) {
+        (self.rank, self.goal)
+    }
+
+    /// Whether its goal can still be reached.
+    fn is_timely(&self, now: Duration) -> bool {
+        now + self.work <= self.goal
+    }
+
+    /// Whether its deadline can't be met any more.
+    fn is_hopeless(&self, now: Duration) -> bool {
+        self.deadline <= now + self.work.mul_f64(HOPE)
+    }
+}
+
+/// Part of the expected time that a run may take in the best case.
+const HOPE: f64 = 0.5;
+
 #[derive(Clone, Debug, Default)]
 struct Line {
     waiting: VecDeque<Waiting>,
@@ -58,6 +84,12 @@
         self.len == 0
     }
 
+    /// Expected run times of everything that is served before a request of this rank and goal.
+    pub fn work_before(&self, rank: u8, goal: Duration) -> Duration {
+        let all = self.lines.values().flat_map(|line| line.waiting.iter());
+        all.filter(|waiting| waiting.order() <= (rank, goal)).map(|waiting| waiting.work).sum()
+    }
+
     /// Adds a request. A full queue makes room for a workspace with a shorter line by turning
     /// away the last one of the longest line, whose ticket is returned.
     ///
@@ -75,7 +107,8 @@
         if line.waiting.is_empty() {
             line.served = line.served.max(floor);
         }
-        line.waiting.push_back(waiting);
+        let at = line.waiting.partition_point(|other| other.order() <= waiting.order());
+        line.waiting.insert(at, waiting);
         self.len += 1;
         Ok(evicted)
     }
@@ -88,12 +121,19 @@
         Ok(last.ticket)
     }
 
-    /// Takes the next request of the least served workspace.
-    pub fn pop(&mut self, weight: impl Fn(&str) -> u32) -> Option<Waiting> {
-        let next = self.lines.iter().filter(|(_, line)| !line.waiting.is_empty());
-        let name = next.min_by(|a, b| a.1.served.total_cmp(&b.1.served))?.0.clone();
+    /// Takes the next request: one that can still reach its goal before one that can't, then by
+    /// rank, then for the least served workspace.
+    pub fn pop(&mut self, now: Duration, weight: impl Fn(&str) -> u32) -> Option<Waiting> {
+        let heads = self.lines.iter().filter_map(|(name, line)| {
+            let at = line.next(now)?;
+            let head = &line.waiting[at];
+            Some((!head.is_timely(now), head.rank, line.served, name, at))
+        });
+        let next =
+            heads.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then_with(|| a.2.total_cmp(&b.2)))?;
+        let (name, at) = (next.3.clone(), next.4);
         let line = self.lines.get_mut(&name)?;
-        let waiting = line.waiting.pop_front()?;
+        let waiting = line.waiting.remove(at)?;
         self.floor = line.served;
         line.served += 1.0 / f64::from(weight(&name).max(1));
         self.len -= 1;
@@ -104,12 +144,12 @@
         Some(waiting)
     }
 
-    /// Takes out everything whose deadline has passed.
+    /// Takes out everything whose deadline can't be met any more.
     pub fn expire(&mut self, now: Duration) -> Vec<Ticket> {
         let mut expired = Vec::new();
         for line in self.lines.values_mut() {
             line.waiting.retain(|waiting| {
-                let is_late = waiting.deadline <= now;
+                let is_late = waiting.is_hopeless(now);
                 if is_late {
                     expired.push(waiting.ticket);
                 }
@@ -131,3 +171,11 @@
         self.len < before
     }
 }
+
+impl Line {
+    /// The first request that can still reach its goal, else the first of all.
+    fn next(&self, now: Duration) -> Option<usize> {
+        let timely = self.waiting.iter().position(|waiting| waiting.is_timely(now));
+        timely.or(if self.waiting.is_empty() { None } else { Some(0) })
+    }
+}
--- a/crates/attempt/src/kind.rs
+++ b/crates/attempt/src/kind.rs
@@ -98,7 +98,7 @@
     /// The queue of the upstream is full.
     QueueFull = 15, 503, No, Retry, "queue-full";
     /// The deadline passed while the request waited; it wasn't sent.
-    Expired = 16, 504, No, Retry, "expired";
+    Expired = 16, 503, No, Retry, "expired";
     /// The upstream refused the request without running it.
     Shed = 17, 503, No, Retry, "shed";
     /// The upstream couldn't be reached; nothing was sent.
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,8 +1,9 @@
 //! The configuration that operators change and every daemon obeys.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use crate::{Hash, PatchId, Version};
+use crate::{Hash, PatchId, Route, Version};
 
 /// How many past changes the document remembers.
 pub(crate) const REMEMBERED_CHANGES: usize = 200;
@@ -24,6 +25,49 @@
     /// Deadline of requests that don't name one, in milliseconds.
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u64,
+    /// What a server bears while it is cold, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Cold>,
+}
+
+impl Service {
+    /// An unkeyed service whose servers run this many requests at a time.
+    pub fn with_slots(slots: u32) -> Service {
+        Service {
+            keyed: false,
+            key_header: None,
+            slots,
+            connections: slots,
+            deadline_ms: default_deadline_ms(),
+            cold: None,
+        }
+    }
+}
+
+/// What a server bears in a cold start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// Requests per second.
+    pub per_s: f64,
+    /// How long a server is cold after its start.
+    pub span: Duration,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time in which a request has to arrive.
+    pub arrival: Duration,
+    /// Time for which an idle connection is kept.
+    pub idle: Duration,
 }
 
 fn default_deadline_ms() -> u64 {
@@ -55,7 +99,7 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
-    /// Requests per second.
+    /// Requests per second; 0 for no limit.
     pub rate: f64,
     /// Requests above the rate that may come at once.
     pub burst: f64,
@@ -65,6 +109,9 @@
     /// Keys that callers may present.
     #[serde(default)]
     pub keys: Vec<Key>,
+    /// Rank of its requests, before their routes'; 0 comes first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u32>,
 }
 
 fn default_weight() -> u32 {
@@ -83,6 +130,10 @@
     pub summary: String,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// The whole configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -93,8 +144,17 @@
     pub services: BTreeMap<String, Service>,
     /// Availability zones by name.
     pub zones: BTreeMap<String, Zone>,
+    /// Revision of the zones, where they change apart from the rest.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub zones_revision: u64,
     /// Workspaces by name.
     pub workspaces: BTreeMap<String, Workspace>,
+    /// Routes by host and path, in deployments that have them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<Route>,
+    /// Bounds on what callers send; the daemons' settings hold without them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub callers: Option<CallerLimits>,
     /// Incarnations that operators declared gone.
     #[serde(default)]
     pub retired: Vec<u64>,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod document;
 mod patch;
+mod route;
 mod secret;
 pub mod settings;
 
 pub use crate::{
-    document::{Change, Config, Key, Service, Workspace, Zone},
+    document::{CallerLimits, Change, Cold, Config, Key, Service, Workspace, Zone},
     patch::{Operation, Outcome, Patch, Refusal},
+    route::{Backend, Route, Router},
     secret::{Hash, hash_key},
     settings::Settings,
 };
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -219,7 +219,7 @@
         if weight == Some(0) {
             return Err(invalid(format!("workspace {name}: weight has to be at least 1")));
         }
-        let fresh = Workspace { rate, burst, weight: 1, keys: Vec::new() };
+        let fresh = Workspace { rate, burst, weight: 1, keys: Vec::new(), rank: None };
         let workspace = self.workspaces.entry(name.to_owned()).or_insert(fresh);
         workspace.rate = rate;
         workspace.burst = burst;
--- a/crates/config/src/secret.rs
+++ b/crates/config/src/secret.rs
@@ -15,6 +15,12 @@
     }
 }
 
+impl std::hash::Hash for Hash {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl Hash {
     /// The hash as text.
     pub fn as_str(&self) -> &str {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -50,6 +50,25 @@
     pub address: SocketAddr,
 }
 
+/// How a server that reports its own liveness, and the platform, meet the daemon.
+///
+/// With this table, routes and workspaces come from the operators' object in the platform's store,
+/// and the server beside the daemon is granted keys in the answers to its reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reports {
+    /// Where the server reports.
+    pub listen: SocketAddr,
+    /// Where the platform asks whether the daemon takes callers.
+    pub ready: SocketAddr,
+    /// Time between two reports, as the platform writes it.
+    pub interval: String,
+    /// Bounds that the platform sets, as it writes them.
+    #[serde(default)]
+    pub bounds: Vec<String>,
+}
+
 /// Form of the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Deserialize)]
@@ -120,6 +139,9 @@
     pub platform: Platform,
     /// The upstream beside it.
     pub upstream: Upstream,
+    /// Reports of the server; without them the daemon orders its upstream by requests.
+    #[serde(default)]
+    pub reports: Option<Reports>,
     /// Daemons to ask when the platform can't be reached at start.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -48,6 +48,7 @@
                 slots: service.slots,
                 connections: service.connections,
                 deadline_ms: service.deadline_ms,
+                cold: None,
             },
         },
         Command::RemoveService(name) => Operation::RemoveService { name },
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -78,7 +78,7 @@
 #[handler]
 fn status(shared: Data<&Arc<Shared>>) -> Json<Status> {
     let (view, now) = (shared.view(), clock::now());
-    let load = shared.guard().load();
+    let load = shared.guard().load(now);
     let instance = &shared.settings.instance;
     Json(Status {
         instance: instance.name.clone(),
--- a/crates/daemon/src/control/documents.rs
+++ b/crates/daemon/src/control/documents.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_config::Config;
+use cactushold_config::{Config, Router};
 use cactushold_lease::{Known, Table};
 use cactushold_wire::schema::Document;
 
@@ -104,6 +104,7 @@
         if let Some(service) = config.services.get(service) {
             self.shared.guard().set_slots(service.slots);
         }
+        *self.router.borrow_mut() = Arc::new(Router::new(&config));
         *self.config.borrow_mut() = Arc::new(config);
         let now = clock::now();
         self.with_member(|member, out| {
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -6,7 +6,7 @@
 
 use cactushold_lease::{Incarnation, Known, Peer, Report, Table};
 use cactushold_placement::{View, revise};
-use cactushold_platform::{Error, Expected, Listing, Pacer, Revision, Stored};
+use cactushold_platform::{Change, Error, Expected, Key, Object, Pacer, Revision, Stored};
 
 use crate::clock;
 use crate::control::Control;
@@ -26,8 +26,13 @@
 pub(super) const TABLE: &str = "table";
 /// Name of the configuration's object.
 pub(super) const CONFIG: &str = "config";
-/// Prefix of the instances' objects.
-pub(super) const INSTANCES: &str = "instances/";
+/// Kind of the instances' objects.
+pub(super) const INSTANCES: &str = "cactushold-instances";
+
+/// The object of a document that daemons share.
+pub(super) fn own(name: &str) -> Key<'_> {
+    Key { kind: cactushold_platform::OWN_KIND, name }
+}
 
 /// What a revision depends on; without a change in it there is nothing to revise.
 #[derive(Clone, PartialEq, Eq)]
@@ -61,12 +66,12 @@
     }
 
     /// Takes up announcements.
-    pub(super) fn list(&mut self, listing: &Listing) {
-        for object in &listing.objects {
+    pub(super) fn list(&mut self, objects: &[Object]) {
+        for object in objects {
             let Some((id, registration)) = Registration::read(object) else { continue };
             self.registered.insert(registration.instance.clone(), (id, registration.peer()));
         }
-        self.changes += u64::from(!listing.objects.is_empty());
+        self.changes += u64::from(!objects.is_empty());
         self.is_listed = true;
     }
 
@@ -163,8 +168,8 @@
     /// Reads table and configuration; the leader's own may be older.
     pub(super) async fn sync(self: &Rc<Self>) -> Result<(), Error> {
         let at = |revision: Option<Revision>| revision.map_or(Expected::Absent, Expected::At);
-        let table = self.platform.get(TABLE).await?;
-        let config = self.platform.get(CONFIG).await?;
+        let table = self.platform.get(own(TABLE)).await?;
+        let config = self.platform.get(own(CONFIG)).await?;
         let revisions = [&table, &config].map(|object| object.as_ref().map(|found| found.revision));
         if let Some(table) = table.and_then(|object| serde_json::from_str(&object.value).ok()) {
             self.learn_table(table);
@@ -182,24 +187,38 @@
         let mut pacer = Pacer::new(fastrand::Rng::new());
         let mut after = None;
         while self.leader.borrow().term == term {
-            let listing = match after {
-                None => self.platform.list(INSTANCES).await,
-                Some(after) => self.platform.watch(INSTANCES, after, WATCH).await,
-            };
-            match listing {
-                Ok(listing) => {
+            match self.instances_since(after).await {
+                Ok((revision, objects)) => {
                     pacer.succeeded();
-                    after = Some(listing.revision);
+                    after = Some(revision);
                     let mut leader = self.leader.borrow_mut();
                     if leader.term == term {
-                        leader.list(&listing);
+                        leader.list(&objects);
                     }
                 }
+                Err(Error::HistoryGone) => after = None,
                 Err(_) => tokio::time::sleep(pacer.failed()).await,
             }
         }
     }
 
+    /// Announcements that are newer than a revision, or all of them.
+    async fn instances_since(
+        &self,
+        after: Option<Revision>,
+    ) -> Result<(Revision, Vec<Object>), Error> {
+        let Some(after) = after else {
+            let listing = self.platform.list(INSTANCES).await?;
+            return Ok((listing.revision, listing.objects));
+        };
+        let changes = self.platform.watch(INSTANCES, after, WATCH).await?;
+        let stored = changes.changes.into_iter().filter_map(|change| match change {
+            Change::Stored(object) => Some(object),
+            Change::Removed(_) => None,
+        });
+        Ok((changes.revision, stored.collect()))
+    }
+
     fn placement_view(&self, table: &Table) -> View {
         let leader = self.leader.borrow();
         let config = self.config.borrow();
@@ -252,7 +271,7 @@
         expected: Expected,
     ) -> Result<(), Error> {
         let value = serde_json::to_string(&next).unwrap_or_default();
-        match self.platform.put(TABLE, value, expected).await {
+        match self.platform.put(own(TABLE), &value, expected).await {
             Ok(Stored::Done(revision)) => {
                 log!(info, Event::TableStored, version = next.version);
                 self.leader.borrow_mut().table = Some(Expected::At(revision));
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_config::Config;
+use cactushold_config::{Config, Router};
 use cactushold_lease::{Fence, Incarnation, Known, Member, SliceId, Table, Time};
 use cactushold_platform::Client;
 use tokio::net::UdpSocket;
@@ -27,7 +27,7 @@
 use crate::guard::Unsure;
 use crate::peer::Links;
 use crate::shared::{Command, Shared, View};
-use crate::upstream::Upstream;
+use crate::upstream::{Dialect, Upstream};
 use crate::{clock, log, metric, peer_quota};
 
 /// How often due work is looked for.
@@ -58,6 +58,7 @@
     /// In force also before this process is a member.
     table: RefCell<Arc<Table>>,
     config: RefCell<Arc<Config>>,
+    router: RefCell<Arc<Router>>,
     fresh: Cell<Option<Fresh>>,
     newest: Cell<Known>,
     granted: RefCell<HashMap<SliceId, Granted>>,
@@ -88,7 +89,7 @@
 
 impl Control {
     fn new(shared: Arc<Shared>, socket: UdpSocket) -> Control {
-        let upstream = Rc::new(Upstream::new(shared.settings.upstream.address));
+        let upstream = Rc::new(Upstream::new(shared.settings.upstream.address, Dialect::Ordered));
         let platform = Client::new(shared.settings.platform.address);
         Control {
             shared,
@@ -99,6 +100,7 @@
             member: RefCell::default(),
             table: RefCell::default(),
             config: RefCell::default(),
+            router: RefCell::default(),
             fresh: Cell::new(None),
             newest: Cell::default(),
             granted: RefCell::default(),
@@ -188,6 +190,8 @@
             valid_until: signature.valid_until,
             fresh_at: signature.fresh_at,
             leads,
+            router: Arc::clone(&self.router.borrow()),
+            ..View::default()
         };
         self.tell_transitions(&view, now);
         metrics::gauge!(metric::SLICES_SERVED).set(view.fences.len() as f64);
@@ -261,6 +265,7 @@
                     let given = member.as_ref().is_some_and(|m| m.has_given_up(slice, since));
                     answer.send(given).ok();
                 }
+                Command::UpstreamRefused => {}
                 Command::Regrant(slice) => {
                     self.change_grants(|granted| {
                         granted.remove(&slice);
--- a/crates/daemon/src/control/patches.rs
+++ b/crates/daemon/src/control/patches.rs
@@ -9,7 +9,7 @@
 
 use crate::clock;
 use crate::control::Control;
-use crate::control::leader::CONFIG;
+use crate::control::leader::{CONFIG, own};
 use crate::event::Event;
 use crate::log;
 
@@ -110,7 +110,7 @@
 
     async fn store_config(&self, next: Config, expected: Expected) -> Result<bool, Error> {
         let value = serde_json::to_string(&next).unwrap_or_default();
-        match self.platform.put(CONFIG, value, expected).await? {
+        match self.platform.put(own(CONFIG), &value, expected).await? {
             Stored::Conflict => Ok(false),
             Stored::Done(revision) => {
                 log!(info, Event::PatchStored, version = next.version);
--- a/crates/daemon/src/control/recovery.rs
+++ b/crates/daemon/src/control/recovery.rs
@@ -9,7 +9,7 @@
 
 use crate::clock;
 use crate::control::Control;
-use crate::control::leader::{CONFIG, INSTANCES, Leader, TABLE};
+use crate::control::leader::{CONFIG, INSTANCES, Leader, TABLE, own};
 
 /// A leader that isn't heard of for this long is looked for in the platform.
 const SILENCE: Duration = Duration::from_secs(2);
@@ -31,7 +31,7 @@
         if self.hears_leader() {
             return Ok(());
         }
-        let object = self.platform.get(TABLE).await?;
+        let object = self.platform.get(own(TABLE)).await?;
         let expected =
             object.as_ref().map_or(Expected::Absent, |found| Expected::At(found.revision));
         let stored = object.and_then(|object| serde_json::from_str::<Table>(&object.value).ok());
@@ -40,7 +40,7 @@
         }
         self.read_config().await?;
         let mut known = Leader::default();
-        known.list(&self.platform.list(INSTANCES).await?);
+        known.list(&self.platform.list(INSTANCES).await?.objects);
         let table = stored.unwrap_or_default();
         let Some(view) = self.recovery_view(&table, &known) else { return Ok(()) };
         match revise(&table, &view) {
@@ -51,7 +51,7 @@
 
     async fn read_config(&self) -> Result<(), Error> {
         if self.config.borrow().version == 0
-            && let Some(object) = self.platform.get(CONFIG).await?
+            && let Some(object) = self.platform.get(own(CONFIG)).await?
             && let Ok(config) = serde_json::from_str(&object.value)
         {
             self.learn_config(config);
--- a/crates/daemon/src/control/registration.rs
+++ b/crates/daemon/src/control/registration.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use cactushold_lease::{Incarnation, Member, Peer, Timing};
-use cactushold_platform::{Error, Expected, Object, Pacer, Stored};
+use cactushold_platform::{Error, Expected, Key, Object, Pacer, Stored};
 
 use crate::clock;
 use crate::control::Control;
+use crate::control::leader::INSTANCES;
 use crate::event::Event;
 use crate::log;
 
@@ -114,8 +115,7 @@
 
     /// One try. An answer may have been lost, so the object is read before anything is written.
     async fn try_register(&self, nonce: u64) -> Result<Option<Incarnation>, Error> {
-        let name = self.registration_name();
-        let found = self.platform.get(&name).await?;
+        let found = self.platform.get(self.registration_key()).await?;
         if let Some((id, registration)) = found.as_ref().and_then(Registration::read)
             && registration.nonce == nonce
         {
@@ -123,14 +123,14 @@
         }
         let expected = found.map_or(Expected::Absent, |object| Expected::At(object.revision));
         let value = self.registration(nonce, None);
-        match self.platform.put(&name, value, expected).await? {
+        match self.platform.put(self.registration_key(), &value, expected).await? {
             Stored::Done(revision) => Ok(Some(revision)),
             Stored::Conflict => Ok(None),
         }
     }
 
-    fn registration_name(&self) -> String {
-        format!("instances/{}", self.shared.settings.instance.name)
+    fn registration_key(&self) -> Key<'_> {
+        Key { kind: INSTANCES, name: &self.shared.settings.instance.name }
     }
 
     fn registration(&self, nonce: u64, incarnation: Option<Incarnation>) -> String {
@@ -150,14 +150,13 @@
 
     /// Tells the leader through the platform that this instance is leaving.
     pub(super) async fn announce_leaving(&self) -> Result<(), Error> {
-        let name = self.registration_name();
-        let Some(object) = self.platform.get(&name).await? else { return Ok(()) };
+        let Some(object) = self.platform.get(self.registration_key()).await? else { return Ok(()) };
         let Some((id, found)) = Registration::read(&object) else { return Ok(()) };
         if id != self.id() || found.leaving {
             return Ok(());
         }
         let value = self.registration(found.nonce, Some(id));
-        self.platform.put(&name, value, Expected::At(object.revision)).await?;
+        self.platform.put(self.registration_key(), &value, Expected::At(object.revision)).await?;
         Ok(())
     }
 }
--- a/crates/daemon/src/control/stop.rs
+++ b/crates/daemon/src/control/stop.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use cactushold_lease::Time;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::clock;
 use crate::control::Control;
 use crate::event::Event;
 use crate::log;
+use crate::signals::wait_for_stop;
 
 /// How often progress is looked for.
 const POLL: Duration = Duration::from_millis(20);
@@ -18,7 +18,7 @@
 impl Control {
     /// Returns when a signal to stop was obeyed.
     pub(super) async fn until_stopped(&self) {
-        wait_for_signal().await;
+        wait_for_stop().await;
         log!(info, Event::Stopping, incarnation = self.id());
         self.shared.leave();
         let limit = clock::now() + Duration::from_millis(self.shared.settings.limits.drain_ms);
@@ -47,14 +47,3 @@
         self.shared.open_requests() > 0 || self.shared.guard().busy() > 0
     }
 }
-
-async fn wait_for_signal() {
-    let (terminate, interrupt) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
-    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::thread;
 
 use cactushold_config::Settings;
+use cactushold_platform::Bounds;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use socket2::Socket;
 use tokio::sync::mpsc;
@@ -13,7 +14,7 @@
 use crate::error::Error;
 use crate::event::Event;
 use crate::shared::{Addresses, Command, Shared};
-use crate::{admin, control, log, worker};
+use crate::{admin, control, fleet, log, worker};
 
 /// Ports tried when the system may choose one that is free for both TCP and UDP.
 const PORT_TRIES: usize = 50;
@@ -35,7 +36,8 @@
     let metrics = install_metrics();
     let sockets = bind(&settings)?;
     let (commands, orders) = mpsc::unbounded_channel();
-    let shared = Arc::new(Shared::new(settings, sockets.addresses, commands));
+    let bounds = bounds(&settings)?;
+    let shared = Arc::new(Shared::new(settings, bounds, sockets.addresses, commands));
     tell_addresses(&shared);
     start_admin(sockets.admin, &shared, metrics)?;
     let workers = start_workers(&shared)?;
@@ -46,6 +48,15 @@
     Ok(())
 }
 
+/// The platform's bounds, as the settings give them.
+///
+/// # Errors
+/// One can't be understood.
+pub fn bounds(settings: &Settings) -> Result<Bounds, Error> {
+    let Some(reports) = &settings.reports else { return Ok(Bounds::default()) };
+    Bounds::read(&reports.interval, &reports.bounds).map_err(Error::Bounds)
+}
+
 fn install_metrics() -> PrometheusHandle {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
@@ -137,6 +148,9 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async move {
         let datagrams = tokio::net::UdpSocket::from_std(datagrams)?;
+        if shared.is_told() {
+            return fleet::run(shared, datagrams, orders).await;
+        }
         control::run(shared, datagrams, orders).await;
         Ok(())
     })
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -13,6 +13,9 @@
     /// The settings were refused.
     #[error(transparent)]
     Settings(#[from] settings::Error),
+    /// A bound that the platform sets can't be understood.
+    #[error("reports: {0}; hint: see docs/OPERATIONS.md, Settings")]
+    Bounds(String),
     /// An address couldn't be bound.
     #[error("can't listen on {address}: {source}; hint: is another daemon running here?")]
     Listen {
@@ -30,7 +33,7 @@
     /// The exit code for this error.
     pub fn exit(&self) -> Exit {
         match self {
-            Error::Settings(_) => Exit::BadSettings,
+            Error::Settings(_) | Error::Bounds(_) => Exit::BadSettings,
             Error::Listen { .. } => Exit::CannotListen,
             Error::Start(_) => Exit::Failed,
         }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -43,10 +43,22 @@
     Waiting = 104, "waiting";
     /// The table doesn't name this incarnation any more; a new one is registered.
     Removed = 105, "removed";
+    /// Something that was read can't be understood; what was known before holds.
+    Unreadable = 106, "unreadable";
+    /// A connection couldn't be accepted.
+    NotAccepted = 107, "not-accepted";
+    /// A server began to live beside this daemon.
+    ServerStarted = 110, "server-started";
+    /// The server beside this daemon leaves; it gets nothing new.
+    ServerLeaving = 111, "server-leaving";
+    /// The process of the server beside this daemon has ended.
+    ServerEnded = 112, "server-ended";
     /// A newer configuration is in force here.
     ConfigInForce = 200, "config-in-force";
     /// A newer slice table is in force here.
     TableInForce = 201, "table-in-force";
+    /// Other zones than before are out.
+    ZonesInForce = 202, "zones-in-force";
     /// This daemon started to lead.
     Leading = 210, "leading";
     /// This daemon stopped leading.
@@ -71,6 +83,8 @@
     NotFresh = 400, "not-fresh";
     /// The configuration is known to be current again.
     Fresh = 401, "fresh";
+    /// A request was refused or failed.
+    RequestFailed = 402, "request-failed";
     /// A silent connection was replaced.
     SilentConnection = 500, "silent-connection";
     /// A graceful shutdown began.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -7,6 +7,9 @@
 
 use crate::upstream::Stream;
 
+/// Tells routes apart, for measurements of their runs.
+pub type RouteId = u64;
+
 /// Prefix of headers that only daemons set.
 pub const INTERNAL_PREFIX: &str = "cactushold-";
 
@@ -35,6 +38,16 @@
     pub idempotency_key: Option<String>,
     /// Whether it may run twice.
     pub idempotent: bool,
+    /// Rank; 0 comes first.
+    pub rank: u8,
+    /// When an answer loses worth, on this instance's clock.
+    pub goal: Time,
+    /// Route by which it came.
+    pub route: RouteId,
+    /// Service of the instance where it began.
+    pub origin: String,
+    /// Servers that it may be sent to.
+    pub max_attempts: u32,
 }
 
 /// Why a request wasn't answered by the upstream.
@@ -46,12 +59,24 @@
     pub detail: String,
     /// Time after which a repeat may succeed.
     pub retry: Option<Time>,
+    /// Whether the request was handed to an upstream.
+    pub is_sent: bool,
 }
 
 impl Refusal {
     /// A refusal without details.
     pub fn new(kind: Kind) -> Refusal {
-        Refusal { kind, detail: String::new(), retry: None }
+        Refusal { kind, detail: String::new(), retry: None, is_sent: false }
+    }
+
+    /// A refusal of a request that was handed to an upstream.
+    pub fn sent(kind: Kind) -> Refusal {
+        Refusal { is_sent: true, ..Refusal::new(kind) }
+    }
+
+    /// Adds the time after which a repeat may succeed.
+    pub fn with_retry(self, retry: Time) -> Refusal {
+        Refusal { retry: Some(retry), ..self }
     }
 
     /// Adds details.
--- /dev/null
+++ b/crates/daemon/src/fleet/documents.rs
@@ -0,0 +1,157 @@
+//! Table, configuration and zones: taking up newer ones, fetching them from peers.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_config::{Config, Router, Zone};
+use cactushold_ownership::Table;
+use cactushold_wire::schema::Document;
+use cactushold_wire::signal::Known;
+
+use crate::event::Event;
+use crate::fleet::{Fleet, publish};
+use crate::{clock, log, metric};
+
+/// Deadline of a fetch.
+const FETCH: Duration = Duration::from_secs(1);
+
+/// Documents being fetched; one fetch of each kind at a time.
+#[derive(Default)]
+pub(super) struct Fetches {
+    table: Cell<bool>,
+    config: Cell<bool>,
+}
+
+impl Fetches {
+    fn flag(&self, document: Document) -> &Cell<bool> {
+        match document {
+            Document::Table => &self.table,
+            Document::Config => &self.config,
+        }
+    }
+}
+
+impl Fleet {
+    /// Notes what another daemon knows and fetches what is newer.
+    pub(super) fn note_known(self: &Rc<Self>, known: Known, source: SocketAddr) {
+        let own = self.known();
+        if known.table > own.table {
+            self.start_fetch(source, Document::Table);
+        }
+        if known.config > own.config || known.zones > own.zones {
+            self.start_fetch(source, Document::Config);
+        }
+    }
+
+    fn start_fetch(self: &Rc<Self>, source: SocketAddr, document: Document) {
+        if self.fetches.flag(document).replace(true) {
+            return;
+        }
+        let fleet = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let fetched = tokio::time::timeout(FETCH, fleet.fetch(source, document)).await;
+            fleet.fetches.flag(document).set(false);
+            if let Ok(Some(content)) = fetched {
+                fleet.take_up(document, &content);
+            }
+        });
+    }
+
+    async fn fetch(&self, source: SocketAddr, document: Document) -> Option<Vec<u8>> {
+        let link = self.links.get(source).await.ok()?;
+        let mut call = link.peer.fetch_request();
+        call.get().set_document(document);
+        let open = link.start();
+        let results = call.send().promise.await.ok()?;
+        open.answered();
+        let content = results.get().ok()?.get_content().ok()?.to_vec();
+        metrics::counter!(metric::FETCHED_BYTES).increment(content.len() as u64);
+        Some(content)
+    }
+
+    fn take_up(self: &Rc<Self>, document: Document, content: &[u8]) {
+        let outcome = match document {
+            Document::Table => serde_json::from_slice(content).map(|table| self.learn_table(table)),
+            Document::Config => serde_json::from_slice(content).map(|config: Config| {
+                self.learn_zones(config.zones.clone(), config.zones_revision);
+                self.learn_config(config);
+            }),
+        };
+        if let Err(error) = outcome {
+            log!(warn, Event::Unreadable, what = ?document, reason = %error);
+        }
+    }
+
+    /// Puts a newer table in force.
+    pub(super) fn learn_table(self: &Rc<Self>, table: Table) {
+        if table.version <= self.table.borrow().version {
+            return;
+        }
+        log!(info, Event::TableInForce, version = table.version, term = table.term);
+        let now = clock::now();
+        if table.term > self.table.borrow().term {
+            // The new leader is given time to be heard.
+            self.leader_heard.set(now);
+        }
+        let table = Arc::new(table);
+        *self.rendered.borrow_mut() = Arc::new(publish::render(&table));
+        *self.table.borrow_mut() = Arc::clone(&table);
+        if let Some(holder) = self.holder.borrow_mut().as_mut() {
+            holder.learn(Arc::clone(&table));
+        }
+        self.ended.borrow_mut().retain(|id| table.members.contains_key(id));
+        let addresses: Vec<SocketAddr> =
+            table.members.values().map(|member| member.address).collect();
+        self.links.retain(|address| addresses.contains(address));
+        self.shared.scores().retain(|id, _| table.members.contains_key(id));
+        self.give_up_leading_if_replaced();
+        self.publish(now);
+        self.news.notify_one();
+    }
+
+    /// Puts a newer configuration in force; the zones change apart from it.
+    pub(super) fn learn_config(&self, mut config: Config) {
+        let zones = {
+            let old = self.config.borrow();
+            if config.version <= old.version {
+                return;
+            }
+            (old.zones.clone(), old.zones_revision)
+        };
+        (config.zones, config.zones_revision) = zones;
+        log!(info, Event::ConfigInForce, version = config.version);
+        *self.router.borrow_mut() = Arc::new(Router::new(&config));
+        self.replace_config(config);
+    }
+
+    /// Puts newer zones in force.
+    pub(super) fn learn_zones(
+        &self,
+        zones: std::collections::BTreeMap<String, Zone>,
+        revision: u64,
+    ) {
+        let mut config = (**self.config.borrow()).clone();
+        if revision <= config.zones_revision {
+            return;
+        }
+        if config.zones != zones {
+            let out: Vec<&String> = zones.keys().collect();
+            log!(info, Event::ZonesInForce, revision, out = ?out);
+        }
+        config.zones = zones;
+        config.zones_revision = revision;
+        self.replace_config(config);
+    }
+
+    fn replace_config(&self, config: Config) {
+        let service = config.services.get(&self.shared.settings.instance.service);
+        if let Some(service) = service {
+            self.shared.guard().set_service(service);
+        }
+        *self.config.borrow_mut() = Arc::new(config);
+        self.publish(clock::now());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/election.rs
@@ -0,0 +1,265 @@
+//! Who leads: the store decides by a conditional write; daemons only decide when to try.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactushold_ownership::{Lessor, Table, Time};
+use cactushold_platform::{Error, Expected, Key, OWN_KIND, Object, Pacer, Stored};
+use cactushold_wire::signal::{Content, Renewal};
+
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::fleet::leader::Leader;
+use crate::{clock, log};
+
+/// The object that holds the table.
+pub(super) const TABLE: Key<'static> = Key { kind: OWN_KIND, name: "table" };
+/// A leader not heard for this long is asked about.
+const SILENCE: Duration = Duration::from_millis(1_300);
+/// A peer that heard the leader within this long speaks for it.
+const RECENT: Duration = Duration::from_millis(1_200);
+/// Time in which peers answer a poll.
+const POLL: Duration = Duration::from_millis(150);
+/// How often a daemon looks whether it has to lead.
+const LOOK: Duration = Duration::from_millis(100);
+/// Upper bound of the pause by which daemons that notice a silence at once are told apart.
+const JITTER_MS: u64 = 250;
+/// After this long, a daemon that reaches no peer tries as well: the others may all be down.
+const ALONE: Duration = Duration::from_secs(5);
+/// Peers that are asked.
+const POLLED: usize = 8;
+
+/// Answers to the latest poll.
+#[derive(Default)]
+pub(super) struct Polls {
+    echo: u64,
+    answers: Vec<Option<Duration>>,
+}
+
+impl Polls {
+    fn begin(&mut self) -> u64 {
+        self.echo = fastrand::u64(1..);
+        self.answers.clear();
+        self.echo
+    }
+
+    /// Takes an answer.
+    pub(super) fn note(&mut self, echo: u64, heard: Option<Duration>) {
+        if echo == self.echo {
+            self.answers.push(heard);
+        }
+    }
+}
+
+impl Fleet {
+    /// Leads whenever no other daemon does, for as long as the daemon runs.
+    pub(super) async fn keep_leading(self: Rc<Self>) {
+        let mut pacer = Pacer::new(fastrand::Rng::new());
+        loop {
+            let step = match self.is_leading() {
+                true => self.lead().await,
+                false => self.stand().await,
+            };
+            match step {
+                Ok(()) => {
+                    pacer.succeeded();
+                    tokio::time::sleep(LOOK).await;
+                }
+                Err(error) => {
+                    log!(info, Event::PlatformUnavailable, what = "table", reason = %error);
+                    tokio::time::sleep(pacer.failed().max(LOOK)).await;
+                }
+            }
+        }
+    }
+
+    fn is_leading(&self) -> bool {
+        self.leader.borrow().is_some()
+    }
+
+    /// One look whether this daemon has to lead.
+    async fn stand(self: &Rc<Self>) -> Result<(), Error> {
+        if self.shared.is_leaving() {
+            return Ok(());
+        }
+        if self.table.borrow().version == 0 {
+            return self.begin().await;
+        }
+        // A process of this instance led and is gone, or a late write of this one took effect.
+        let is_own = self.table.borrow().leader == self.shared.settings.instance.name;
+        if !is_own && !self.is_leader_lost().await {
+            return Ok(());
+        }
+        let asked = clock::now();
+        let Some(object) = self.platform.get(TABLE).await? else { return Ok(()) };
+        self.note_contact(asked);
+        if self.learn_object(&object) && !is_own {
+            return Ok(());
+        }
+        self.take_lead(&object).await
+    }
+
+    /// The first look: there may be no table yet.
+    async fn begin(self: &Rc<Self>) -> Result<(), Error> {
+        let asked = clock::now();
+        match self.platform.get(TABLE).await? {
+            Some(object) => {
+                self.learn_object(&object);
+                self.word.set(Some((self.table.borrow().term, asked)));
+                Ok(())
+            }
+            None => {
+                let pause = Duration::from_millis(fastrand::u64(..JITTER_MS));
+                tokio::time::sleep(pause).await;
+                self.store_lead(Table::default(), Expected::Absent).await
+            }
+        }
+    }
+
+    /// Takes up a table that was read; whether its term is news.
+    fn learn_object(self: &Rc<Self>, object: &Object) -> bool {
+        let term = self.table.borrow().term;
+        match serde_json::from_str::<Table>(&object.value) {
+            Ok(table) => {
+                let is_news = table.term > term;
+                self.learn_table(table);
+                is_news
+            }
+            Err(error) => {
+                log!(warn, Event::Unreadable, what = "table", reason = %error);
+                false
+            }
+        }
+    }
+
+    /// Whether neither this daemon nor enough of its peers have heard the leader lately.
+    async fn is_leader_lost(self: &Rc<Self>) -> bool {
+        let silent_for = || clock::now().saturating_sub(self.leader_heard.get());
+        if silent_for() < SILENCE {
+            return false;
+        }
+        let peers = self.poll_peers();
+        let echo = self.polls.borrow_mut().begin();
+        for address in &peers {
+            self.send(*address, Content::Poll(echo));
+        }
+        tokio::time::sleep(POLL + Duration::from_millis(fastrand::u64(..JITTER_MS))).await;
+        if silent_for() < SILENCE {
+            return false;
+        }
+        let polls = self.polls.borrow();
+        let heard = |age: &Option<Duration>| age.is_some_and(|age| age < RECENT);
+        if polls.answers.iter().any(heard) {
+            return false;
+        }
+        let is_enough = polls.answers.len() * 2 >= peers.len();
+        is_enough || silent_for() > ALONE
+    }
+
+    fn poll_peers(&self) -> Vec<SocketAddr> {
+        let table = self.table.borrow();
+        let own = self.shared.addresses.advertised;
+        let others = table.members.values().map(|member| member.address);
+        let others =
+            others.filter(|address| *address != own && Some(*address) != table.leader_address);
+        let mut peers: Vec<SocketAddr> = others.collect();
+        peers.sort();
+        peers.dedup();
+        fastrand::shuffle(&mut peers);
+        peers.truncate(POLLED);
+        peers
+    }
+
+    /// Tells a peer when the leader was last heard here.
+    pub(super) fn on_poll(&self, echo: u64, term: u64, source: SocketAddr, now: Time) {
+        let newer = self.table.borrow().term > term;
+        let age = now.saturating_sub(self.leader_heard.get());
+        let heard = if newer || self.is_leading() { Duration::ZERO } else { age };
+        self.send(source, Content::Polled(echo, Some(heard)));
+    }
+
+    async fn take_lead(self: &Rc<Self>, object: &Object) -> Result<(), Error> {
+        let table = (**self.table.borrow()).clone();
+        self.store_lead(table, Expected::At(object.revision)).await
+    }
+
+    /// Stores the table under the next term, naming this process.
+    async fn store_lead(self: &Rc<Self>, base: Table, expected: Expected) -> Result<(), Error> {
+        let next = Table {
+            version: base.version + 1,
+            term: base.term + 1,
+            leader: self.shared.settings.instance.name.clone(),
+            run: self.run,
+            leader_address: Some(self.shared.addresses.advertised),
+            ..base
+        };
+        let value = serde_json::to_string(&next).unwrap_or_default();
+        let asked = clock::now();
+        match self.platform.put(TABLE, &value, expected).await? {
+            Stored::Done(revision) => {
+                self.note_contact(asked);
+                let now = clock::now();
+                log!(info, Event::Leading, term = next.term);
+                *self.leader.borrow_mut() =
+                    Some(Leader::new(Lessor::new(asked, now), revision, now));
+                self.learn_table(next);
+                tokio::task::spawn_local(Rc::clone(self).watch_entries());
+                self.announce();
+                Ok(())
+            }
+            Stored::Conflict => {
+                if let Some(object) = self.platform.get(TABLE).await? {
+                    self.learn_object(&object);
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Stops leading when the table names another process.
+    pub(super) fn give_up_leading_if_replaced(&self) {
+        let is_replaced = !self.is_named_leader() && self.is_leading();
+        if is_replaced {
+            *self.leader.borrow_mut() = None;
+            log!(info, Event::NotLeading, term = self.table.borrow().term);
+        }
+    }
+
+    /// Tells the members that this process leads no more, so that they need not wait for silence.
+    pub(super) fn resign(&self) {
+        if self.leader.borrow_mut().take().is_none() {
+            return;
+        }
+        log!(info, Event::NotLeading, term = self.table.borrow().term);
+        let table = self.table.borrow();
+        let own = self.shared.addresses.advertised;
+        for member in table.members.values().filter(|member| member.address != own) {
+            self.send(member.address, Content::Renewal(Renewal::default()));
+        }
+    }
+
+    /// Asks the store for its word on the term, on behalf of a leader that can't reach it.
+    pub(super) async fn ask_store(self: Rc<Self>) {
+        let now = clock::now();
+        let is_recent = |(_, at): (u64, Time)| now < at + RECENT;
+        if self.word.get().is_some_and(is_recent) {
+            return;
+        }
+        // The answer counts from the question; until it is there, nobody else here asks.
+        let before = self.word.replace(Some((0, now)));
+        match self.platform.get(TABLE).await {
+            Ok(Some(object)) => {
+                self.learn_object(&object);
+                self.word.set(Some((self.table.borrow().term, now)));
+                self.note_contact(now);
+                self.news.notify_one();
+            }
+            Ok(None) => self.word.set(before),
+            Err(error) => {
+                log!(info, Event::PlatformUnavailable, what = "table", reason = %error);
+                self.word.set(before);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/publish.rs
@@ -0,0 +1,155 @@
+//! Renders what is agreed into the view that requests are decided by.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_lease::{
+    Assignment, Fence, Grant, Incarnation, Peer, Previous, Replica, Slice, SliceId,
+    Table as Rendered, Time,
+};
+use cactushold_ownership::{Hold, Position, Range, Table};
+
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::shared::{Tenure, View};
+use crate::{log, metric};
+
+/// How long after the store's last word a leader lends workspaces' rates; a leader that another
+/// one replaced has stopped by then.
+const LENDING: Duration = Duration::from_millis(5_500);
+/// Bits of a key position within a position of the key space.
+const POSITION_SHIFT: u32 = 48;
+
+/// Place in the key space of a key position.
+pub fn place(position: Position) -> u64 {
+    u64::from(position) << POSITION_SHIFT
+}
+
+/// The table in the form that requests are routed by.
+pub(super) fn render(table: &Table) -> Rendered {
+    let members = table.members.iter().map(|(&id, member)| {
+        let peer = Peer {
+            instance: member.instance.clone(),
+            zone: member.zone.clone(),
+            service: member.service.clone(),
+            address: member.address,
+            admin: member.admin,
+            leaving: !member.serves,
+        };
+        (id, Replica { peer, grant: Grant { epoch: 0, sponsors: [0, 0] } })
+    });
+    let services = table.services.iter().enumerate().map(|(at, (name, ranges))| {
+        let slices = ranges.iter().map(|range| slice(at, range));
+        (name.clone(), slices.collect())
+    });
+    Rendered {
+        version: table.version,
+        next_slice: 0,
+        members: members.collect(),
+        services: services.collect(),
+    }
+}
+
+fn slice(service: usize, range: &Range) -> Slice {
+    let assignment =
+        |holder: Incarnation| Assignment { owner: holder, successor: holder, since: range.fence };
+    let previous = Previous { assignment: assignment(range.earlier), until: range.fence };
+    Slice {
+        id: slice_id(service, range.first),
+        parent: None,
+        born: 0,
+        start: place(range.first),
+        current: assignment(range.holder),
+        previous: (range.earlier != 0).then_some(previous),
+    }
+}
+
+fn slice_id(service: usize, first: Position) -> SliceId {
+    (service as SliceId) << Position::BITS | SliceId::from(first)
+}
+
+impl Fleet {
+    /// Swaps the view.
+    pub(super) fn publish(&self, now: Time) {
+        let holder = self.holder.borrow();
+        let server = self.server.borrow();
+        let (fences, valid_until) = match holder.as_ref() {
+            Some(holder) => self.fences(holder.served()),
+            None => (HashMap::new(), Time::ZERO),
+        };
+        let tenure = self.leader.borrow().as_ref().map(|leader| Tenure {
+            fence: Fence { since: self.table.borrow().term, takeover: 0 },
+            since: leader.since(),
+            until: leader.assured() + LENDING,
+        });
+        let table = self.table.borrow();
+        let mut members = table.members.iter();
+        let lender = members.find(|(_, member)| member.instance == table.leader);
+        let live = server.as_ref().filter(|server| !server.has_ended);
+        let view = View {
+            id: self.id(),
+            config: Arc::clone(&self.config.borrow()),
+            router: Arc::clone(&self.router.borrow()),
+            table: Arc::clone(&self.rendered.borrow()),
+            acquired: fences.keys().map(|slice| (*slice, Time::ZERO)).collect(),
+            fences,
+            valid_until,
+            fresh_at: self.fresh_at.get(),
+            leads: tenure.is_some(),
+            tenure,
+            lender: lender.map(|(id, _)| *id),
+            server: live.map(|server| server.life.server.as_str().into()),
+            silent: self.silent.borrow().clone(),
+            agreed: Some(Arc::clone(&table)),
+            ..View::default()
+        };
+        metrics::gauge!(metric::SLICES_SERVED).set(view.fences.len() as f64);
+        metrics::gauge!(metric::CONFIG_VERSION).set(view.config.version as f64);
+        metrics::gauge!(metric::TABLE_VERSION).set(view.table.version as f64);
+        metrics::counter!(metric::PLATFORM_CALLS).absolute(self.platform.calls());
+        self.tell_transitions(&view, now);
+        self.shared.publish(view);
+    }
+
+    fn tell_transitions(&self, view: &View, now: Time) {
+        let is_valid = now < view.valid_until;
+        if is_valid != self.was_valid.replace(is_valid) {
+            match is_valid {
+                true => log!(info, Event::LeaseValid, incarnation = view.id),
+                false => log!(warn, Event::LeaseLapsed, incarnation = view.id),
+            }
+        }
+    }
+
+    /// The slices of the table that lie within what the server was granted.
+    fn fences(
+        &self,
+        served: (impl Iterator<Item = Hold>, Time),
+    ) -> (HashMap<SliceId, Fence>, Time) {
+        let holds: Vec<Hold> = served.0.collect();
+        let table = self.table.borrow();
+        let service = &self.shared.settings.instance.service;
+        let Some(at) = table.services.keys().position(|name| name == service) else {
+            return (HashMap::new(), served.1);
+        };
+        let fences = table.spans(service).filter_map(|(range, last)| {
+            let fence = covering(&holds, range.first, last)?;
+            Some((slice_id(at, range.first), Fence { since: fence, takeover: 0 }))
+        });
+        (fences.collect(), served.1)
+    }
+}
+
+/// The highest fence of the holds that together cover a range; nothing if a part is missing.
+fn covering(holds: &[Hold], first: Position, last: Position) -> Option<u64> {
+    let mut next = u32::from(first);
+    let mut fence = 0;
+    while next <= u32::from(last) {
+        let covers = |hold: &&Hold| (u32::from(hold.first)..=u32::from(hold.last)).contains(&next);
+        let hold = holds.iter().find(covers)?;
+        fence = fence.max(hold.fence);
+        next = u32::from(hold.last) + 1;
+    }
+    Some(fence)
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/reports.rs
@@ -0,0 +1,266 @@
+//! HTTP for the server beside the daemon, which reports its liveness, and for the platform, which
+//! asks whether the daemon takes callers.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactushold_ownership::{Grant, Hold, Report as Keys};
+use cactushold_platform::report::{
+    ALIVE_PATH, Answer, Grant as Row, Hold as RowHold, LEAVE_PATH, READY_PATH, Report,
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::error::Error;
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::fleet::entry::SECOND_LOOK;
+use crate::fleet::server::{Arrival, Server};
+use crate::{clock, log, worker};
+
+/// Largest report read, in bytes.
+const MAX_REPORT: usize = 1 << 20;
+/// Time in which a report has to arrive.
+const ARRIVAL: Duration = Duration::from_secs(2);
+/// Time in which the server accepts a connection, if it lives.
+const CONNECT: Duration = Duration::from_millis(200);
+
+type Reply = Response<Full<Bytes>>;
+
+impl Fleet {
+    /// Listens for reports and for questions whether the daemon takes callers.
+    ///
+    /// # Errors
+    /// An address can't be listened on.
+    pub(super) async fn listen(self: &Rc<Self>) -> Result<(), Error> {
+        let Some(reports) = self.shared.settings.reports.clone() else { return Ok(()) };
+        for address in [reports.listen, reports.ready] {
+            let listener = TcpListener::from_std(worker::listen(address)?)?;
+            tokio::task::spawn_local(Rc::clone(self).accept(listener));
+        }
+        Ok(())
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(Rc::clone(&self).serve(stream));
+                }
+                Err(error) => {
+                    log!(warn, Event::NotAccepted, reason = %error);
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
+        stream.set_nodelay(true).ok();
+        let service = service_fn(move |request| {
+            let fleet = Rc::clone(&self);
+            async move { Ok::<_, Infallible>(fleet.answer(request).await) }
+        });
+        // A connection that breaks is dialled anew by whoever reports.
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service)
+            .await
+            .ok();
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let path = request.uri().path().to_owned();
+        if request.method() == Method::GET && path == READY_PATH {
+            return status(match self.is_ready() {
+                true => StatusCode::OK,
+                false => StatusCode::SERVICE_UNAVAILABLE,
+            });
+        }
+        if request.method() != Method::POST {
+            return status(StatusCode::NOT_FOUND);
+        }
+        let body = Limited::new(request.into_body(), MAX_REPORT).collect();
+        let Ok(Ok(body)) = tokio::time::timeout(ARRIVAL, body).await else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if let Some(server) = path.strip_prefix(ALIVE_PATH) {
+            return self.on_report(server, &body.to_bytes());
+        }
+        match path.strip_prefix(LEAVE_PATH) {
+            Some(server) => self.on_leave(server),
+            None => status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    /// Whether callers may come.
+    fn is_ready(&self) -> bool {
+        let known = self.known();
+        known.config > 0 && known.table > 0 && !self.shared.is_leaving()
+    }
+
+    fn on_report(self: &Rc<Self>, server: &str, body: &[u8]) -> Reply {
+        let report = match Report::read(server, body) {
+            Ok(report) if report.service == self.shared.settings.instance.service => report,
+            Ok(report) => {
+                log!(
+                    warn,
+                    Event::Unreadable,
+                    what = "report",
+                    reason = "another service",
+                    service = report.service
+                );
+                return status(StatusCode::BAD_REQUEST);
+            }
+            Err(error) => {
+                log!(warn, Event::Unreadable, what = "report", server, reason = %error);
+                return status(StatusCode::BAD_REQUEST);
+            }
+        };
+        let now = clock::now();
+        let arrival = Server::order(self.server.borrow().as_ref(), &report);
+        match arrival {
+            Arrival::Late => return json(Answer::default().write()),
+            Arrival::NewLife => self.begin_life(&report, now),
+            Arrival::Next => self.note_report(&report, now),
+        }
+        let longest = self.shared.bounds.longest_grant;
+        let grants = self
+            .holder
+            .borrow_mut()
+            .as_mut()
+            .and_then(|holder| holder.answer(keys(&report), longest, now));
+        self.publish(now);
+        let has_released =
+            self.holder.borrow().as_ref().is_some_and(|holder| !holder.releases(now).is_empty());
+        if has_released {
+            self.news.notify_one();
+        }
+        let rows = grants.map(|(grants, time)| (grants.into_iter().map(row).collect(), time));
+        json(Answer { grants: rows }.write())
+    }
+
+    /// A server was started; the one before it, at the same address, has ended.
+    fn begin_life(self: &Rc<Self>, report: &Report, now: Duration) {
+        log!(info, Event::ServerStarted, server = report.server, born = report.born);
+        self.end_life();
+        *self.holder.borrow_mut() = None;
+        *self.server.borrow_mut() = Some(Server::of(report, now));
+        self.shared.guard().start(report.slots, report.cold_left, now);
+        self.entry_changed.notify_one();
+    }
+
+    fn note_report(self: &Rc<Self>, report: &Report, now: Duration) {
+        let changed = {
+            let mut server = self.server.borrow_mut();
+            let Some(server) = server.as_mut() else { return };
+            let before = server.is_ready;
+            server.update(report, now);
+            before != server.is_ready
+        };
+        if changed {
+            log!(info, Event::ServerLeaving, server = report.server);
+            self.shared.guard().close(now);
+            self.entry_changed.notify_one();
+        }
+        self.shared.guard().note_state(report.slots, report.cold_left, now);
+    }
+
+    fn on_leave(self: &Rc<Self>, id: &str) -> Reply {
+        let now = clock::now();
+        {
+            let mut server = self.server.borrow_mut();
+            let known = server.as_mut().filter(|server| server.life.server == id);
+            let Some(server) = known else { return status(StatusCode::OK) };
+            server.is_ready = false;
+        }
+        log!(info, Event::ServerLeaving, server = id);
+        self.shared.guard().close(now);
+        self.publish(now);
+        self.entry_changed.notify_one();
+        status(StatusCode::OK)
+    }
+
+    /// The server's process ended: nothing of its life is held any more.
+    fn end_life(&self) {
+        let id = self.id();
+        let mut ended = self.ended.borrow_mut();
+        if id != 0 && !ended.contains(&id) {
+            ended.push(id);
+        }
+    }
+
+    /// After a refused connection, looks twice whether the server's process has ended.
+    pub(super) async fn look_for_end(self: Rc<Self>) {
+        let life = {
+            let server = self.server.borrow();
+            let Some(server) = server.as_ref().filter(|server| !server.has_ended) else { return };
+            server.life.clone()
+        };
+        let address = self.shared.settings.upstream.address;
+        if !refuses(address).await {
+            return;
+        }
+        tokio::time::sleep(SECOND_LOOK).await;
+        if !refuses(address).await {
+            return;
+        }
+        {
+            let mut server = self.server.borrow_mut();
+            let same = server.as_mut().filter(|server| server.life == life && !server.has_ended);
+            let Some(server) = same else { return };
+            server.has_ended = true;
+            server.is_ready = false;
+        }
+        log!(info, Event::ServerEnded, server = life.server);
+        self.end_life();
+        self.shared.guard().close(clock::now());
+        self.publish(clock::now());
+        self.entry_changed.notify_one();
+        self.news.notify_one();
+    }
+}
+
+/// Whether nothing listens at an address of this machine.
+async fn refuses(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+fn keys(report: &Report) -> Keys {
+    let hold = |hold: &RowHold| Hold { first: hold.first, last: hold.last, fence: hold.fence };
+    Keys {
+        holds: report.holds.iter().map(hold).collect(),
+        freed: report
+            .freed
+            .iter()
+            .map(|freed| (freed.first, freed.last, freed.handover.clone()))
+            .collect(),
+    }
+}
+
+fn row(grant: Grant) -> Row {
+    let Hold { first, last, fence } = grant.hold;
+    Row { hold: RowHold { first, last, fence }, handover: grant.handover }
+}
+
+fn status(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
+
+fn json(body: String) -> Reply {
+    let mut reply = Response::new(Full::from(body));
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    reply
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/stop.rs
@@ -0,0 +1,45 @@
+//! Graceful shutdown: no new callers, then let running requests end.
+
+use std::time::Duration;
+
+use cactushold_lease::Time;
+
+use crate::event::Event;
+use crate::fleet::Fleet;
+use crate::signals::wait_for_stop;
+use crate::{clock, log};
+
+/// How often progress is looked for.
+const POLL: Duration = Duration::from_millis(20);
+/// Part of the grace within which everything ends.
+const PART_OF_GRACE: f64 = 0.9;
+/// Time in which callers and other daemons learn that this one leaves.
+const NOTICE: Duration = Duration::from_millis(2_200);
+
+impl Fleet {
+    /// Returns when a signal to stop was obeyed.
+    pub(super) async fn until_stopped(&self) {
+        wait_for_stop().await;
+        log!(info, Event::Stopping, incarnation = self.id());
+        let limit = clock::now() + self.shared.bounds.grace.mul_f64(PART_OF_GRACE);
+        self.shared.leave();
+        self.entry_changed.notify_one();
+        self.shared.stop_politely.send_replace(true);
+        let notice = clock::now() + NOTICE;
+        while clock::now() < notice.min(limit) {
+            tokio::time::sleep(POLL).await;
+        }
+        // From now on nothing new is taken, neither from callers nor from other daemons.
+        self.shared.guard().close(Time::ZERO);
+        while clock::now() < limit && self.is_busy() {
+            tokio::time::sleep(POLL).await;
+        }
+        self.resign();
+        self.shared.stop.send_replace(true);
+        log!(info, Event::Stopped, incarnation = self.id());
+    }
+
+    fn is_busy(&self) -> bool {
+        self.shared.open_requests() > 0 || self.shared.guard().busy() > 0
+    }
+}
--- a/crates/daemon/src/guard/mod.rs
+++ b/crates/daemon/src/guard/mod.rs
@@ -1,7 +1,9 @@
 //! The guard: the only way to the upstream beside this daemon.
 
+mod estimate;
 mod handover;
 mod permit;
+mod sampler;
 mod serve;
 mod table;
 
--- a/crates/daemon/src/guard/permit.rs
+++ b/crates/daemon/src/guard/permit.rs
@@ -8,7 +8,7 @@
 use cactushold_lease::{SliceId, Time};
 
 use crate::clock;
-use crate::exchange::Refusal;
+use crate::exchange::{Refusal, Request};
 use crate::guard::table::Entry;
 use crate::shared::Shared;
 
@@ -32,22 +32,19 @@
 
 impl Permit {
     /// Waits for a slot until the deadline. Dropping the future gives the place up.
-    pub async fn obtain(
-        shared: &Arc<Shared>,
-        workspace: &str,
-        deadline: Time,
-    ) -> Result<Permit, Kind> {
-        let entry = shared.guard().enter(workspace, deadline, clock::now())?;
+    pub async fn obtain(shared: &Arc<Shared>, request: &Request) -> Result<Permit, Refusal> {
+        let deadline = request.deadline;
+        let entry = shared.guard().enter(request, clock::now())?;
         if let Entry::Waiting(ticket, call) = entry {
             let mut place = Place { shared: Arc::clone(shared), ticket: Some(ticket) };
             let answer = tokio::time::timeout_at(clock::instant(deadline), call).await;
             match answer {
                 Ok(Ok(Ok(()))) => place.ticket = None,
-                Ok(Ok(Err(kind))) => {
+                Ok(Ok(Err(refusal))) => {
                     place.ticket = None;
-                    return Err(kind);
+                    return Err(refusal);
                 }
-                Ok(Err(_)) | Err(_) => return Err(Kind::Expired),
+                Ok(Err(_)) | Err(_) => return Err(Refusal::new(Kind::Expired)),
             }
         }
         let signal = Cell::new(Signal::Neutral);
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -32,6 +32,9 @@
 fn check_place(shared: &Shared, request: &Request) -> Result<(), Refusal> {
     let instance = &shared.settings.instance;
     let view = shared.view();
+    if shared.is_told() {
+        check_server(shared, &view, request)?;
+    }
     if request.service != instance.service {
         return Err(Refusal::new(Kind::NotOwner).with_detail("another service"));
     }
@@ -41,6 +44,27 @@
     Ok(())
 }
 
+/// Whether the server that reports to this daemon takes work. One that leaves may get work for
+/// keys a little longer than other work, as these can run nowhere else until they have moved.
+fn check_server(shared: &Shared, view: &View, request: &Request) -> Result<(), Refusal> {
+    if view.server.is_none() {
+        return Err(Refusal::new(Kind::Unreachable).with_detail("no server lives here"));
+    }
+    let closed_at = shared.guard().closed_at();
+    let closed_for = closed_at.map(|at| clock::now().saturating_sub(at));
+    let longest = match request.key {
+        Some(_) => shared.bounds.drain.mul_f64(PART_OF_DRAIN),
+        None => Duration::ZERO,
+    };
+    match closed_for {
+        Some(closed) if closed >= longest => Err(Refusal::new(Kind::Draining)),
+        _ => Ok(()),
+    }
+}
+
+/// Part of the time to drain in which a leaving server gets work for keys.
+const PART_OF_DRAIN: f64 = 0.6;
+
 /// The slice of a keyed request.
 fn slice_of(view: &View, request: &Request) -> Result<Option<SliceId>, Refusal> {
     let Some(key) = request.key else { return Ok(None) };
@@ -55,10 +79,12 @@
 
 async fn run(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
     let slice = slice_of(&shared.view(), request)?;
+    if let (Some(key), true) = (request.key, shared.is_told()) {
+        shared.guard().note_position(position(key), clock::now());
+    }
     let _presence = slice.map(|slice| Presence::enter(shared, slice));
     fence_of(&shared.view(), slice, clock::now())?;
-    let permit = Permit::obtain(shared, &request.workspace, request.deadline).await;
-    let permit = permit.map_err(Refusal::new)?;
+    let permit = Permit::obtain(shared, request).await?;
     // The wait may have outlasted ownership, deadline or configuration.
     let (view, now) = (shared.view(), clock::now());
     let fence = fence_of(&view, slice, now)?;
@@ -69,7 +95,22 @@
         Some(_) => request.deadline.min(view.valid_until),
         None => request.deadline,
     };
-    let answer = upstream.send(request, slice.zip(fence), expires, permit).await;
+    if shared.is_told() {
+        check_place(shared, request)?;
+    }
+    let started = now;
+    let server = view.server.as_deref();
+    let answer = upstream.send(request, server, slice.zip(fence), expires, permit).await;
+    match &answer {
+        Ok(_) => {
+            let took = clock::now().saturating_sub(started);
+            shared.guard().note_run(request.route, took);
+        }
+        Err(refusal) if refusal.kind == Kind::Unreachable => {
+            shared.commands.send(Command::UpstreamRefused).ok();
+        }
+        Err(_) => {}
+    }
     if let (Err(refusal), Some(slice)) = (&answer, slice)
         && refusal.kind == Kind::NotOwner
     {
@@ -78,6 +119,11 @@
     answer
 }
 
+/// Position of a key, from its place in the key space.
+fn position(key: u64) -> u16 {
+    (key >> (u64::BITS - u16::BITS)) as u16
+}
+
 /// Runs a request under an `Idempotency-Key` at most once.
 async fn run_once(
     shared: &Arc<Shared>,
--- a/crates/daemon/src/guard/table.rs
+++ b/crates/daemon/src/guard/table.rs
@@ -4,13 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactushold_admission::{Arrival, Gate, Refusal as Turned, Signal, Ticket};
+use cactushold_admission::{Arrival, Gate, Refusal as Turned, Signal, Ticket, Visit};
 use cactushold_attempt::{Kind, Records};
-use cactushold_config::{Config, settings::Limits};
+use cactushold_config::{Config, Service, settings::Limits};
 use cactushold_lease::{SliceId, Time};
+use cactushold_ownership::{Position, Sample};
 use hyper::HeaderMap;
 use tokio::sync::oneshot;
 
+use crate::exchange::{Refusal, Request, RouteId};
+use crate::guard::estimate::Estimates;
+use crate::guard::sampler::Sampler;
+
 /// How long an answer is kept for a repeated `Idempotency-Key`.
 pub const KEEP_ANSWERS: Duration = Duration::from_secs(600);
 /// How many of them are kept.
@@ -30,15 +35,19 @@
 }
 
 /// Resolves when a waiting request may run or is turned away.
-pub type Call = oneshot::Receiver<Result<(), Kind>>;
+pub type Call = oneshot::Receiver<Result<(), Refusal>>;
 
 /// The guard's table.
 pub struct Guard {
     gate: Gate,
-    calls: HashMap<Ticket, oneshot::Sender<Result<(), Kind>>>,
+    calls: HashMap<Ticket, oneshot::Sender<Result<(), Refusal>>>,
     running: HashMap<SliceId, u32>,
     /// Answers by `Idempotency-Key`.
     pub records: Records<Recorded>,
+    estimates: Estimates,
+    sampler: Sampler,
+    /// When the server said that it leaves.
+    closed_at: Option<Time>,
 }
 
 /// What becomes of an arriving request.
@@ -50,34 +59,97 @@
 }
 
 impl Guard {
-    /// A guard before a cold upstream.
-    pub fn new(limits: &Limits) -> Guard {
+    /// A guard before an upstream; `is_told` if the upstream tells its slots and warmth.
+    pub fn new(limits: &Limits, is_told: bool) -> Guard {
+        let gate = match is_told {
+            true => Gate::told(FIRST_SLOTS, limits.queue),
+            false => Gate::new(FIRST_SLOTS, limits.queue),
+        };
         Guard {
-            gate: Gate::new(FIRST_SLOTS, limits.queue),
+            gate,
             calls: HashMap::new(),
             running: HashMap::new(),
             records: Records::new(KEEP_ANSWERS, MAX_ANSWERS),
+            estimates: Estimates::default(),
+            sampler: Sampler::default(),
+            closed_at: None,
         }
     }
 
+    /// Takes up what the configuration says of the upstream's service.
+    pub fn set_service(&mut self, service: &Service) {
+        self.gate.set_cold_rate(service.cold.map(|cold| cold.per_s));
+    }
+
+    /// A server was started.
+    pub fn start(&mut self, slots: u32, cold_left: Time, now: Time) {
+        self.closed_at = None;
+        self.note_state(slots, cold_left, now);
+    }
+
+    /// Takes up what the server tells of itself.
+    pub fn note_state(&mut self, slots: u32, cold_left: Time, now: Time) {
+        self.gate.set_slots(slots);
+        self.gate.cool(now, now + cold_left);
+    }
+
+    /// The server leaves: it gets nothing new.
+    pub fn close(&mut self, now: Time) {
+        let earliest = self.closed_at.map_or(now, |at| at.min(now));
+        self.closed_at = Some(earliest);
+    }
+
+    /// When the server said that it leaves.
+    pub fn closed_at(&self) -> Option<Time> {
+        self.closed_at
+    }
+
+    /// Notes a request for a key.
+    pub fn note_position(&mut self, position: Position, now: Time) {
+        self.sampler.note(position, now);
+    }
+
+    /// What the server was asked for lately, with `most` positions at most.
+    pub fn sample(&mut self, most: usize, now: Time) -> Sample {
+        self.sampler.sample(most, now)
+    }
+
+    /// Notes how long a run took.
+    pub fn note_run(&mut self, route: RouteId, took: Time) {
+        self.estimates.note(route, took);
+    }
+
+    /// Expected time of a request of a route that arrives now.
+    pub fn expected(&self, route: RouteId, now: Time) -> Time {
+        self.gate.load(now).wait + self.estimates.of(route)
+    }
+
     /// Takes up the limits of the upstream's service.
     pub fn set_slots(&mut self, slots: u32) {
         self.gate.set_slots(slots);
     }
 
     /// How busy the upstream is.
-    pub fn load(&self) -> cactushold_admission::Load {
-        self.gate.load()
+    pub fn load(&self, now: Time) -> cactushold_admission::Load {
+        self.gate.load(now)
     }
 
     /// Admits a request, lets it wait, or refuses it.
-    pub fn enter(&mut self, workspace: &str, deadline: Time, now: Time) -> Result<Entry, Kind> {
-        match self.gate.arrive(workspace, deadline, now) {
+    pub fn enter(&mut self, request: &Request, now: Time) -> Result<Entry, Refusal> {
+        let visit = Visit {
+            workspace: &request.workspace,
+            rank: request.rank,
+            goal: request.goal,
+            deadline: request.deadline,
+            work: self.estimates.of(request.route),
+        };
+        let wait = self.gate.load(now).wait;
+        match self.gate.arrive(visit, now) {
             Arrival::Admitted => Ok(Entry::Admitted),
-            Arrival::Refused(turned) => Err(kind(turned)),
+            Arrival::Refused(turned) => Err(refusal(turned, wait)),
             Arrival::Queued(ticket, evicted) => {
                 if let Some(evicted) = evicted {
-                    self.answer(evicted, Err(Kind::QueueFull));
+                    self.answer(evicted, Err(refusal(Turned::Full, wait)));
                 }
                 let (sender, call) = oneshot::channel();
                 self.calls.insert(ticket, sender);
@@ -94,18 +166,19 @@
 
     /// Lets waiting requests run as far as there are slots.
     pub fn call_next(&mut self, config: &Config, now: Time) {
+        let wait = self.gate.load(now).wait;
         for ticket in self.gate.expire(now) {
-            self.answer(ticket, Err(Kind::Expired));
+            self.answer(ticket, Err(refusal(Turned::Expired(wait), wait)));
         }
         let weight = |name: &str| config.workspaces.get(name).map_or(1, |found| found.weight);
-        while let Some(ticket) = self.gate.next(weight) {
+        while let Some(ticket) = self.gate.next(now, weight) {
             if !self.answer(ticket, Ok(())) {
                 self.gate.end(Signal::Neutral);
             }
         }
     }
 
-    fn answer(&mut self, ticket: Ticket, answer: Result<(), Kind>) -> bool {
+    fn answer(&mut self, ticket: Ticket, answer: Result<(), Refusal>) -> bool {
         self.calls.remove(&ticket).is_some_and(|sender| sender.send(answer).is_ok())
     }
 
@@ -138,14 +211,17 @@
 
     /// All work that runs or waits.
     pub fn busy(&self) -> usize {
-        let load = self.gate.load();
+        let load = self.gate.load(Time::ZERO);
         load.running as usize + load.waiting
     }
 }
 
-fn kind(turned: Turned) -> Kind {
-    match turned {
-        Turned::Full => Kind::QueueFull,
-        Turned::Expired => Kind::Expired,
-    }
+fn refusal(turned: Turned, wait: Time) -> Refusal {
+    let (kind, wait) = match turned {
+        Turned::Full => (Kind::QueueFull, wait),
+        // There is no room in time here; there may be elsewhere.
+        Turned::Expired(wait) if !wait.is_zero() => (Kind::QueueFull, wait),
+        Turned::Expired(wait) => (Kind::Expired, wait),
+    };
+    Refusal { retry: Some(wait), ..Refusal::new(kind) }
 }
--- a/crates/daemon/src/ingress/admit.rs
+++ b/crates/daemon/src/ingress/admit.rs
@@ -54,11 +54,12 @@
     let (name, service) = find_service(&view.config, head.uri.path())?;
     let key = find_key(&name, service, head.uri.path(), &head.headers)?;
     let idempotency_key = idempotency_key(&head.headers)?;
-    let deadline = now + deadline(service, &head.headers)?;
+    let wait = Duration::from_millis(service.deadline_ms);
+    let deadline = now + deadline(&head.headers, wait)?;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let sticky = idempotency_key.as_ref().map(|key| format!("{workspace}/{key}").into_bytes());
     let key = key.or(sticky).map(|key| cactushold_placement::hash_key(&key));
-    let body = read_body(worker, body, deadline).await?;
+    let body = read_body(worker, body, deadline, None).await?;
     Ok(Request {
         attempt: worker.shared.next_attempt(),
         workspace,
@@ -71,6 +72,11 @@
         body,
         deadline,
         idempotency_key,
+        rank: 0,
+        goal: now,
+        route: 0,
+        origin: String::new(),
+        max_attempts: u32::MAX,
     })
 }
 
@@ -123,20 +129,28 @@
     Ok(Some(text.to_owned()))
 }
 
-fn deadline(service: &Service, headers: &HeaderMap) -> Result<Time, Refusal> {
-    let Some(value) = headers.get(DEADLINE) else {
-        return Ok(Duration::from_millis(service.deadline_ms));
-    };
+/// How long the caller waits; `usual` if it doesn't say.
+pub fn deadline(headers: &HeaderMap, usual: Time) -> Result<Time, Refusal> {
+    let Some(value) = headers.get(DEADLINE) else { return Ok(usual) };
     let wait = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
     let wait = wait.filter(|ms| *ms > 0).map(Duration::from_millis);
     let bad = || Refusal::new(Kind::BadRequest).with_detail("Deadline-Ms: milliseconds above 0");
     Ok(wait.ok_or_else(bad)?.min(MAX_DEADLINE))
 }
 
-async fn read_body(worker: &Worker, body: Incoming, deadline: Time) -> Result<Bytes, Refusal> {
+/// Reads a whole body; `largest` overrides the settings' limit.
+pub async fn read_body(
+    worker: &Worker,
+    body: Incoming,
+    deadline: Time,
+    largest: Option<usize>,
+) -> Result<Bytes, Refusal> {
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
     let limits = worker.shared.settings.limits;
     let arrival = clock::now() + Duration::from_millis(limits.arrival_ms);
-    let limited = Limited::new(body, limits.body_bytes).collect();
+    let limited = Limited::new(body, largest.unwrap_or(limits.body_bytes)).collect();
     match tokio::time::timeout_at(clock::instant(arrival.min(deadline)), limited).await {
         Err(_) => Err(Refusal::new(Kind::SlowCaller)),
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
@@ -151,7 +165,7 @@
 }
 
 /// Removes the key, what concerns the caller's connection, and forged internal headers.
-fn strip(mut headers: HeaderMap) -> HeaderMap {
+pub fn strip(mut headers: HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::Stream;
@@ -72,12 +73,42 @@
     detail: &'a str,
 }
 
-/// The HTTP answer for the outcome of a request.
-pub fn respond(answer: Answer, open: OpenRequest) -> Response<Body> {
-    let response = match answer {
+/// How callers understand the time after which a repeat may succeed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Style {
+    /// As HTTP has it.
+    WholeSeconds,
+    /// With fractions.
+    Fractions,
+}
+
+impl Style {
+    fn write(self, retry: Duration) -> String {
+        match self {
+            Style::WholeSeconds => (retry.as_millis().div_ceil(1_000).max(1) as u64).to_string(),
+            Style::Fractions => format!("{:.3}", retry.max(SOONEST).as_secs_f64()),
+        }
+    }
+}
+
+/// The soonest repeat that callers are told.
+const SOONEST: Duration = Duration::from_millis(20);
+
+/// The HTTP answer for the outcome of a request; the last one on its connection if `is_leaving`.
+pub fn respond(
+    answer: Answer,
+    open: OpenRequest,
+    style: Style,
+    is_leaving: bool,
+) -> Response<Body> {
+    let mut response = match answer {
         Ok(reply) => succeed(reply),
-        Err(refusal) => refuse(&refusal),
+        Err(refusal) => refuse(&refusal, style),
     };
+    if is_leaving {
+        let close = hyper::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
     response.map(|content| Body { content, _open: open })
 }
 
@@ -127,7 +158,7 @@
     }
 }
 
-fn refuse(refusal: &Refusal) -> Response<Content> {
+fn refuse(refusal: &Refusal, style: Style) -> Response<Content> {
     let kind = refusal.kind;
     let body = ErrorBody {
         kind: kind.name(),
@@ -141,9 +172,10 @@
         StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
-    if let Some(retry) = refusal.retry {
-        let seconds = retry.as_millis().div_ceil(1_000).max(1) as u64;
-        headers.insert("retry-after", seconds.into());
+    if let Some(retry) = refusal.retry
+        && let Ok(value) = style.write(retry).parse()
+    {
+        headers.insert(hyper::header::RETRY_AFTER, value);
     }
     response
 }
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -16,6 +16,10 @@
 const BACKOFF: Backoff = Backoff { base: Duration::from_millis(4), cap: Duration::from_millis(40) };
 /// Failures of a request up to which a lost connection costs no budget.
 const MAX_FREE_LOSSES: u32 = 2;
+/// Failed tries of a request, after which a caller of a told upstream is told to come back.
+const MOST_FAILURES: u32 = 4;
+/// Time after which callers are told to come back when a key has no owner.
+const OWNER_SOON: Duration = Duration::from_millis(300);
 /// Attempts under way at a time.
 const MAX_PARALLEL: usize = 2;
 
@@ -109,6 +113,8 @@
     request: &'a Request,
     targets: Targets,
     failures: u32,
+    /// Attempts that were handed to an upstream.
+    sent: u32,
     hedged: bool,
     /// What is told if no attempt succeeds.
     last: Refusal,
@@ -118,8 +124,8 @@
     fn new(worker: &'a Rc<Worker>, request: &'a Request) -> Plan<'a> {
         let targets = Targets::of(&worker.shared, &worker.shared.view(), request);
         let kind = if request.key.is_some() { Kind::NoOwner } else { Kind::NoUpstream };
-        let last = Refusal::new(kind);
-        Plan { worker, request, targets, failures: 0, hedged: false, last }
+        let last = Refusal::new(kind).with_retry(OWNER_SOON);
+        Plan { worker, request, targets, failures: 0, sent: 0, hedged: false, last }
     }
 
     /// The next target; holders are looked up anew after each round.
@@ -139,6 +145,7 @@
         // A keyed request can run in one place only.
         let may = self.request.idempotent
             && self.request.key.is_none()
+            && !self.worker.shared.is_told()
             && !self.hedged
             && (1..MAX_PARALLEL).contains(&running);
         may.then(|| self.worker.usual_latency(&self.request.service))
@@ -155,16 +162,20 @@
         };
         self.targets.unlearn(&self.worker.shared, outcome.target);
         self.failures += 1;
-        let kind = refusal.kind;
+        self.sent += u32::from(refusal.is_sent);
+        let (kind, is_sent) = (refusal.kind, refusal.is_sent);
         self.note(refusal);
         // As long as another attempt is under way, nothing is known for sure.
         if is_running {
             return Step::Wait;
         }
-        if !may_retry(kind, self.request.idempotent) {
+        if !may_retry(kind, self.request.idempotent) || self.sent >= self.request.max_attempts {
             return self.give_up();
         }
-        self.pause(kind)
+        if self.worker.shared.is_told() && self.has_waited_enough(kind) {
+            return self.give_up();
+        }
+        self.pause(kind, is_sent)
     }
 
     /// Keeps what says most. A misdirection says less than that there is no owner.
@@ -179,10 +190,20 @@
         Step::Finish(Box::new(Err(self.last.clone())))
     }
 
+    /// Whether the caller is better told to come back than kept waiting: a holder that is on its
+    /// way is waited for as long as the goal can be reached, other refusals for a few tries.
+    fn has_waited_enough(&self, kind: Kind) -> bool {
+        match kind {
+            Kind::NotOwner => clock::now() >= self.request.goal,
+            _ => self.failures >= MOST_FAILURES,
+        }
+    }
+
     /// A misdirected request costs no upstream anything and is free, as is the loss of a
     /// connection for each request on it; others need the budget.
-    fn pause(&mut self, kind: Kind) -> Step {
+    fn pause(&mut self, kind: Kind, is_sent: bool) -> Step {
         let is_free = match kind {
+            _ if self.worker.shared.is_told() => !is_sent,
             Kind::NotOwner | Kind::Unreachable | Kind::Draining => true,
             Kind::LinkLost => self.failures <= MAX_FREE_LOSSES,
             _ => false,
@@ -232,11 +253,11 @@
     let mut call = link.peer.forward_request();
     peer::write_request(call.get().init_request(), request, clock::now());
     let open = link.start();
-    let lost = |error: capnp::Error| Refusal::new(Kind::LinkLost).with_detail(error.to_string());
-    let broken = |error: capnp::Error| Refusal::new(Kind::Broken).with_detail(error.to_string());
+    let lost = |error: capnp::Error| Refusal::sent(Kind::LinkLost).with_detail(error.to_string());
+    let broken = |error: capnp::Error| Refusal::sent(Kind::Broken).with_detail(error.to_string());
     let results = tokio::select! {
         results = call.send().promise => results.map_err(lost)?,
-        () = link.lost() => return Err(Refusal::new(Kind::LinkLost)),
+        () = link.lost() => return Err(Refusal::sent(Kind::LinkLost)),
     };
     open.answered();
     let results = results.get().map_err(broken)?;
--- a/crates/daemon/src/ingress/rate.rs
+++ b/crates/daemon/src/ingress/rate.rs
@@ -1,6 +1,7 @@
 //! Spends a workspace's rate before a request goes anywhere.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cactushold_attempt::Kind;
@@ -22,6 +23,10 @@
 /// # Errors
 /// The workspace is over its rate, or its bucket has no owner until the deadline.
 pub async fn spend(worker: &Rc<Worker>, workspace: &str, deadline: Time) -> Result<(), Refusal> {
+    let config = Arc::clone(&worker.shared.view().config);
+    if worker.shared.is_told() && !config.workspaces.get(workspace).is_some_and(is_limited) {
+        return Ok(());
+    }
     let spent = worker.shared.quota().spend(workspace, clock::now());
     match spent {
         Spend::Granted => Ok(()),
@@ -30,6 +35,11 @@
     }
 }
 
+/// Whether a workspace has a limit at all.
+fn is_limited(workspace: &cactushold_config::Workspace) -> bool {
+    workspace.rate > 0.0
+}
+
 async fn ask(worker: &Rc<Worker>, workspace: &str, deadline: Time) -> Result<(), Refusal> {
     loop {
         let token = ask_owners(worker, workspace).await;
@@ -67,10 +77,13 @@
 
 /// Possible owners of a workspace's bucket.
 pub fn owners(view: &View, workspace: &str) -> Vec<Incarnation> {
+    if let Some(lender) = view.lender {
+        return vec![lender];
+    }
     let slice = view.table.locate(QUOTA, hash_key(workspace.as_bytes()));
     slice.map(Slice::likely_holders).unwrap_or_default()
 }
 
 fn over_rate(wait: Duration) -> Refusal {
-    Refusal { kind: Kind::OverRate, detail: String::new(), retry: Some(wait) }
+    Refusal::new(Kind::OverRate).with_retry(wait)
 }
--- /dev/null
+++ b/crates/daemon/src/ingress/route.rs
@@ -0,0 +1,124 @@
+//! Admits a request by the operators' routes: host and path lead to a service, the route tells
+//! what callers want and what may be repeated.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use cactushold_attempt::Kind;
+use cactushold_config::{Config, Route, hash_key};
+use cactushold_platform::http as told;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+
+use crate::exchange::{Refusal, Request, RouteId};
+use crate::fleet::place;
+use crate::ingress::admit;
+use crate::shared::View;
+use crate::worker::Worker;
+use crate::{clock, upstream};
+
+/// Rank of requests on open routes: servers call them in the middle of other work, which waits.
+const OPEN_RANK: u8 = 0;
+/// Rank of the first requests of callers.
+const FIRST_RANK: u32 = 1;
+/// Time after which a daemon without contact to the store or a leader refuses callers.
+const FRESHNESS: Duration = Duration::from_secs(15);
+
+/// Turns what arrived into a request that may be forwarded.
+pub async fn admit(
+    worker: &Worker,
+    incoming: hyper::Request<Incoming>,
+) -> Result<Request, Refusal> {
+    let now = clock::now();
+    let view = worker.shared.view();
+    check_ready(&view, now)?;
+    let (head, body) = incoming.into_parts();
+    let route = find_route(&view, &head)?;
+    let workspace = find_workspace(&view, route, &head)?;
+    if !head.headers.contains_key(told::ATTEMPT) {
+        return Err(Refusal::new(Kind::BadRequest).with_detail("the attempt has no identity"));
+    }
+    let service = route.pick(worker.random.borrow_mut().f64()).to_owned();
+    let key = find_key(&view.config, &service, &head)?;
+    let wait = admit::deadline(&head.headers, route.timeout)?.min(route.timeout);
+    let limits = view.config.callers;
+    let deadline = now + wait;
+    let request = Request {
+        attempt: worker.shared.next_attempt(),
+        rank: rank(&view.config, route, &workspace),
+        workspace,
+        service,
+        key,
+        method: head.method.clone(),
+        path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+        headers: hyper::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        deadline,
+        idempotency_key: None,
+        idempotent: route.is_idempotent,
+        goal: now + route.goal,
+        route: route_id(route),
+        origin: worker.shared.settings.instance.service.clone(),
+        max_attempts: route.max_attempts,
+    };
+    let host = head.headers.get(HOST).cloned();
+    let mut headers = admit::strip(head.headers);
+    upstream::strip_forwarded(&mut headers);
+    if let Some(host) = host {
+        headers.insert(HOST, host);
+    }
+    let body =
+        admit::read_body(worker, body, deadline, limits.map(|limits| limits.body_bytes)).await?;
+    Ok(Request { headers, body, ..request })
+}
+
+fn check_ready(view: &View, now: Duration) -> Result<(), Refusal> {
+    if view.config.version == 0 || view.table.version == 0 {
+        return Err(Refusal::new(Kind::NotReady));
+    }
+    let is_fresh = view.fresh_at.is_some_and(|at| now < at + FRESHNESS);
+    if is_fresh { Ok(()) } else { Err(Refusal::new(Kind::NotFresh)) }
+}
+
+fn find_route<'a>(view: &'a View, head: &Parts) -> Result<&'a Route, Refusal> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    view.router.find(host, head.uri.path()).ok_or_else(|| Refusal::new(Kind::NoService))
+}
+
+/// The workspace whose key came with the request; empty on open routes.
+fn find_workspace(view: &View, route: &Route, head: &Parts) -> Result<String, Refusal> {
+    if route.is_open || view.config.workspaces.is_empty() {
+        return Ok(String::new());
+    }
+    let key = head.headers.get(told::WORKSPACE_KEY);
+    let key = key.ok_or_else(|| Refusal::new(Kind::Unauthenticated))?;
+    let workspace = view.router.workspace_of(&hash_key(key.as_bytes()));
+    workspace.map(str::to_owned).ok_or_else(|| Refusal::new(Kind::Unauthenticated))
+}
+
+/// Place of the key that one server has to hold, if the service has owners.
+fn find_key(config: &Config, service: &str, head: &Parts) -> Result<Option<u64>, Refusal> {
+    if !config.services.get(service).is_some_and(|service| service.keyed) {
+        return Ok(None);
+    }
+    let position = head.headers.get(told::KEY_POSITION).and_then(|value| value.to_str().ok());
+    let position = position.and_then(|text| text.trim().parse().ok());
+    position.map(|position| Some(place(position))).ok_or_else(|| Refusal::new(Kind::NoKey))
+}
+
+fn rank(config: &Config, route: &Route, workspace: &str) -> u8 {
+    if route.is_open {
+        return OPEN_RANK;
+    }
+    let own = config.workspaces.get(workspace).and_then(|workspace| workspace.rank);
+    let rank = own.unwrap_or(route.rank).saturating_add(FIRST_RANK);
+    u8::try_from(rank).unwrap_or(u8::MAX)
+}
+
+fn route_id(route: &Route) -> RouteId {
+    let mut hasher = DefaultHasher::new();
+    (&route.host, &route.prefix).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 pub mod event;
 mod exchange;
+mod fleet;
 pub mod exit;
 mod guard;
 mod ingress;
@@ -18,6 +19,7 @@
 mod peer_quota;
 mod quota;
 mod shared;
+mod signals;
 mod upstream;
 mod worker;
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -21,6 +21,7 @@
 
 fn run(options: &Options) -> Result<(), Error> {
     let settings = Settings::load(&options.settings)?;
+    daemon::bounds(&settings)?;
     if options.check {
         return Ok(());
     }
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -26,6 +26,11 @@
     builder.set_body(&request.body);
     builder.set_budget_ms(u32::try_from(left).unwrap_or(u32::MAX));
     builder.set_idempotent(request.idempotent);
+    let goal = request.goal.saturating_sub(now).as_millis();
+    builder.set_goal_ms(u32::try_from(goal).unwrap_or(u32::MAX));
+    builder.set_rank(request.rank);
+    builder.set_route(request.route);
+    builder.set_origin(&request.origin);
     if let Some(key) = &request.idempotency_key {
         builder.set_idempotency_key(key.as_bytes());
     }
@@ -54,6 +59,12 @@
         deadline: now + Duration::from_millis(reader.get_budget_ms().into()),
         idempotency_key,
         idempotent: reader.get_idempotent(),
+        rank: reader.get_rank(),
+        goal: now + Duration::from_millis(reader.get_goal_ms().into()),
+        route: reader.get_route(),
+        origin: reader.get_origin()?.to_str()?.to_owned(),
+        // Counted where the request came in.
+        max_attempts: 1,
     })
 }
 
@@ -68,6 +79,7 @@
             refused.set_detail(&refusal.detail);
             let retry = refusal.retry.map_or(0, |retry| retry.as_millis() as u32);
             refused.set_retry_ms(retry);
+            refused.set_sent(refusal.is_sent);
         }
         Ok(reply) => {
             let mut out = builder.init_reply();
@@ -96,7 +108,7 @@
             let detail = refused.get_detail()?.to_str()?.to_owned();
             let retry = Some(refused.get_retry_ms()).filter(|ms| *ms > 0);
             let retry = retry.map(|ms| Duration::from_millis(ms.into()));
-            Ok(Err(Refusal { kind, detail, retry }))
+            Ok(Err(Refusal { kind, detail, retry, is_sent: refused.get_sent() }))
         }
         answer::Reply(reply) => {
             let reply = reply?;
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -23,6 +23,8 @@
 
 /// Thousandths in a whole, for rates and tokens on the wire.
 const MILLI: f64 = 1_000.0;
+/// Stands for the slice of all buckets where the leader keeps them.
+const BUCKETS: SliceId = SliceId::MAX;
 
 struct Server {
     shared: Arc<Shared>,
@@ -91,8 +93,13 @@
     ) -> Result<(), capnp::Error> {
         let request = convert::read_request(params.get()?.get_request()?, clock::now())?;
         let answer = guard::serve(&self.shared, &self.upstream, &request).await;
-        let load = self.shared.guard().load();
-        let out = results.get().init_answer();
+        let now = clock::now();
+        let (load, expected) = {
+            let guard = self.shared.guard();
+            (guard.load(now), guard.expected(request.route, now))
+        };
+        let mut out = results.get().init_answer();
+        out.set_expected_us(u32::try_from(expected.as_micros()).unwrap_or(u32::MAX));
         convert::write_answer(out, request.attempt, answer, load.running + load.waiting as u32);
         Ok(())
     }
@@ -104,7 +111,10 @@
     ) -> Result<(), capnp::Error> {
         let view = self.shared.view();
         let (version, content) = match params.get()?.get_document()? {
-            Document::Table => (view.table.version, serde_json::to_vec(&*view.table)),
+            Document::Table => match &view.agreed {
+                Some(agreed) => (agreed.version, serde_json::to_vec(&**agreed)),
+                None => (view.table.version, serde_json::to_vec(&*view.table)),
+            },
             Document::Config => (view.config.version, serde_json::to_vec(&*view.config)),
         };
         let mut out = results.get();
@@ -237,6 +247,18 @@
 /// Proof that a workspace's bucket is owned here now.
 pub fn owned<'a>(view: &'a View, workspace: &str) -> Option<Owned<'a>> {
     let now = clock::now();
+    if view.lender.is_some() {
+        let tenure = view.tenure.filter(|tenure| now < tenure.until)?;
+        let (fence, acquired, valid_until) = (tenure.fence, tenure.since, tenure.until);
+        return Some(Owned {
+            slice: BUCKETS,
+            fence,
+            acquired,
+            valid_until,
+            config: &view.config,
+            now,
+        });
+    }
     let slice = view.table.locate(QUOTA, hash_key(workspace.as_bytes()))?.id;
     let fence = view.fence(slice, now)?;
     let acquired = view.acquired.get(&slice).copied()?;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use cactushold_attempt::Score;
-use cactushold_config::{Config, Settings};
+use cactushold_config::{Config, Router, Settings};
 use cactushold_lease::{Fence, Incarnation, SliceId, Table, TableVersion, Time};
+use cactushold_platform::Bounds;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::guard::{Guard, Unsure};
@@ -27,6 +28,8 @@
     pub id: Incarnation,
     /// Configuration in force.
     pub config: Arc<Config>,
+    /// Its routes and keys, for looking them up.
+    pub router: Arc<Router>,
     /// Slice table in force.
     pub table: Arc<Table>,
     /// Slices that the upstream accepted a grant for, and their fences.
@@ -41,6 +44,27 @@
     pub fresh_at: Option<Time>,
     /// Whether this daemon leads.
     pub leads: bool,
+    /// The tenure in which it lends workspaces' rates, where the leader does that for all.
+    pub tenure: Option<Tenure>,
+    /// Who lends workspaces' rates, where the leader does that for all.
+    pub lender: Option<Incarnation>,
+    /// Identity of the server beside the daemon, if it told one.
+    pub server: Option<Arc<str>>,
+    /// Members that the leader hasn't heard lately.
+    pub silent: Vec<Incarnation>,
+    /// The table that daemons agreed on through the store, where they do.
+    pub agreed: Option<Arc<cactushold_ownership::Table>>,
+}
+
+/// A leader's right to lend workspaces' rates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// Fence of the leader's term.
+    pub fence: Fence,
+    /// When it began.
+    pub since: Time,
+    /// The first moment at which it is over.
+    pub until: Time,
 }
 
 impl View {
@@ -56,6 +80,9 @@
 
     /// Whether a member may get new work.
     pub fn takes_work(&self, id: Incarnation) -> bool {
+        if self.silent.contains(&id) {
+            return false;
+        }
         let member = self.table.members.get(&id);
         member
             .is_some_and(|member| !member.peer.leaving && self.config.is_zone_in(&member.peer.zone))
@@ -70,6 +97,8 @@
     Report(cactushold_lease::Report),
     /// The upstream doesn't know the grant of a slice.
     Regrant(SliceId),
+    /// A connection to the upstream was refused: its process may have ended.
+    UpstreamRefused,
     /// Tell whether a slice was given up to the assignment of this table version.
     HasGivenUp(SliceId, TableVersion, oneshot::Sender<bool>),
 }
@@ -91,6 +120,8 @@
 pub struct Shared {
     /// Settings.
     pub settings: Settings,
+    /// Bounds that the platform sets.
+    pub bounds: Bounds,
     /// Where the daemon listens.
     pub addresses: Addresses,
     view: RwLock<Arc<View>>,
@@ -105,6 +136,8 @@
     pub commands: mpsc::UnboundedSender<Command>,
     /// Turns true when listeners have to close.
     pub stop: watch::Sender<bool>,
+    /// Turns true when callers' connections have to close after their present request.
+    pub stop_politely: watch::Sender<bool>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -115,12 +148,14 @@
     /// Empty tables.
     pub fn new(
         settings: Settings,
+        bounds: Bounds,
         addresses: Addresses,
         commands: mpsc::UnboundedSender<Command>,
     ) -> Shared {
-        let guard = Guard::new(&settings.limits);
+        let guard = Guard::new(&settings.limits, settings.reports.is_some());
         Shared {
             settings,
+            bounds,
             addresses,
             view: RwLock::default(),
             guard: Mutex::new(guard),
@@ -132,9 +167,15 @@
             open: AtomicUsize::new(0),
             commands,
             stop: watch::Sender::new(false),
+            stop_politely: watch::Sender::new(false),
         }
     }
 
+    /// Whether the server beside the daemon tells its state by reports.
+    pub fn is_told(&self) -> bool {
+        self.settings.reports.is_some()
+    }
+
     /// The present view.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.view.read().unwrap_or_else(std::sync::PoisonError::into_inner))
--- /dev/null
+++ b/crates/daemon/src/upstream/pool.rs
@@ -0,0 +1,159 @@
+//! Connections to the upstream: one request at a time on each, reused while they are good.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactushold_lease::Time;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use crate::clock;
+
+/// Time in which a connection has to come about.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time for which an idle connection is kept if the upstream doesn't tell.
+const IDLE: Duration = Duration::from_secs(4);
+/// Part of the idle time told by the upstream for which a connection is reused, so that a request
+/// doesn't cross its end.
+const PART_OF_IDLE: f64 = 0.75;
+/// Time in which a reused connection has to be ready for its next request.
+const READY: Duration = Duration::from_millis(5);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// A connection; it is closed at once when this is dropped.
+pub struct Connection {
+    sender: Sender,
+    task: AbortHandle,
+    idle: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    until: Time,
+}
+
+/// Idle connections to one upstream.
+pub struct Pool {
+    address: SocketAddr,
+    idle: RefCell<Vec<Idle>>,
+}
+
+/// Why a request wasn't answered.
+pub enum Failure {
+    /// It never left this process.
+    NotSent(String),
+    /// It was sent, and the connection broke.
+    Broken(String),
+}
+
+impl Pool {
+    /// Connects when the first request is sent.
+    pub fn new(address: SocketAddr) -> Rc<Pool> {
+        Rc::new(Pool { address, idle: RefCell::default() })
+    }
+
+    /// Sends a request over an idle connection or a new one. The connection lives as long as the
+    /// returned value.
+    ///
+    /// # Errors
+    /// No answer came; tells whether the request was sent.
+    pub async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), Failure> {
+        while let Some(mut connection) = self.take_idle().await {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(mut error) => match error.take_message() {
+                    // It didn't leave: the connection had been closed.
+                    Some(unsent) => request = unsent,
+                    None => return Err(Failure::Broken(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut connection = self.dial().await?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(mut error) => match error.take_message() {
+                Some(_) => Err(Failure::NotSent(error.into_error().to_string())),
+                None => Err(Failure::Broken(error.into_error().to_string())),
+            },
+        }
+    }
+
+    async fn take_idle(&self) -> Option<Connection> {
+        loop {
+            let Idle { mut connection, until } = self.idle.borrow_mut().pop()?;
+            if clock::now() >= until || connection.sender.is_closed() {
+                continue;
+            }
+            let ready = tokio::time::timeout(READY, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Some(connection);
+            }
+        }
+    }
+
+    async fn dial(&self) -> Result<Connection, Failure> {
+        let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let stream = match connecting {
+            Err(_) => return Err(Failure::NotSent("no connection in time".to_owned())),
+            Ok(Err(error)) => return Err(Failure::NotSent(error.to_string())),
+            Ok(Ok(stream)) => stream,
+        };
+        stream.set_nodelay(true).ok();
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) =
+            handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
+        // How a connection ends is seen by whoever waits for an answer on it.
+        let task = tokio::task::spawn_local(async move { connection.await.ok() });
+        Ok(Connection { sender, task: task.abort_handle(), idle: IDLE })
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub fn give_back(&self, connection: Connection) {
+        let until = clock::now() + connection.idle;
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|other| clock::now() < other.until);
+        idle.push(Idle { connection, until });
+    }
+
+    /// Drops idle connections: others may have gone silent like the one that failed.
+    pub fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+impl Connection {
+    /// Takes up what an answer says about the connection; whether it may be used again.
+    pub fn note(&mut self, headers: &HeaderMap) -> bool {
+        let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+        let timeout = text("keep-alive").and_then(|text| text.split(',').find_map(idle_time));
+        if let Some(timeout) = timeout {
+            self.idle = timeout.mul_f64(PART_OF_IDLE);
+        }
+        let closes = |text: &str| text.split(',').any(|t| t.trim().eq_ignore_ascii_case("close"));
+        !text("connection").is_some_and(closes)
+    }
+}
+
+fn idle_time(parameter: &str) -> Option<Duration> {
+    let (name, seconds) = parameter.split_once('=')?;
+    let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
+    is_timeout.then(|| seconds.trim().parse().ok().map(Duration::from_secs)).flatten()
+}
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -15,7 +15,7 @@
 use crate::ingress;
 use crate::peer::{Links, serve_peers};
 use crate::shared::Shared;
-use crate::upstream::Upstream;
+use crate::upstream::{Dialect, Upstream};
 
 /// Retries and hedges that may be saved up.
 const RETRY_RESERVE: f64 = 20.0;
@@ -96,7 +96,8 @@
     local.block_on(&runtime, async move {
         let callers = TcpListener::from_std(callers)?;
         let peers = TcpListener::from_std(peers)?;
-        let upstream = Rc::new(Upstream::new(shared.settings.upstream.address));
+        let dialect = if shared.is_told() { Dialect::Reporting } else { Dialect::Ordered };
+        let upstream = Rc::new(Upstream::new(shared.settings.upstream.address, dialect));
         let worker = Rc::new(Worker {
             shared: Arc::clone(&shared),
             links: Links::default(),
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,47 @@
+//! Sole ownership of ranges of key positions, agreed through one object of a store.
+//!
+//! One daemon leads under a term that only rises; each table that it stores carries the term, so
+//! that an earlier leader's writes fail. Holders renew their authority with the leader and may
+//! hold keys only until it ends. A range goes to another holder when the earlier one released it,
+//! is known to have ended, or let its authority lapse.
+//!
+//! All machines are pure: they do no I/O and take the present time as an argument.
+
+mod holder;
+mod lessor;
+mod plan;
+mod table;
+mod traffic;
+
+pub use crate::{
+    holder::{Grant, Hold, Holder, Release, Report},
+    lessor::Lessor,
+    plan::{Facts, Server, plan},
+    table::{Member, Range, Table},
+    traffic::{Sample, Traffic},
+};
+
+use std::time::Duration;
+
+/// A reading of a clock that goes on while the process is paused.
+pub type Time = Duration;
+/// Identifies one life of a server beside one daemon; strictly rising. 0 stands for nobody.
+pub type HolderId = u64;
+/// Counts leaders; strictly rising.
+pub type Term = u64;
+/// Version of the table, strictly rising.
+pub type Version = u64;
+/// Orders the holders of a key position; strictly rising from holder to holder.
+pub type Fence = u64;
+/// Position of a key.
+pub type Position = u16;
+
+/// How long a renewal lasts, counted by the holder from when it asked; survives two lost reports
+/// of a server and is what an unexplained loss costs at the least.
+pub const LEASE: Duration = Duration::from_secs(3);
+/// How long a leader may renew after the store last named it; longer than the store's usual
+/// outages.
+pub const AUTHORITY: Duration = Duration::from_secs(10);
+/// Allowance for clocks that run at different rates: the lease's part by which a leader waits
+/// longer than the holder may go on.
+pub const DRIFT: f64 = 0.05;
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -28,6 +28,56 @@
 struct Released { number @0 :Number; table @1 :UInt64; config @2 :UInt64; }
 struct Claim { slice @0 :UInt32; since @1 :UInt64; }
 
+# Datagrams between daemons of a deployment whose ownership is agreed through the store.
+struct Signal {
+  # Life that the sender stands for; 0 before it is registered.
+  from @0 :UInt64;
+  # Process of the sender.
+  run @1 :UInt64;
+  # Newest term, table, configuration and zones known to the sender.
+  term @2 :UInt64;
+  table @3 :UInt64;
+  config @4 :UInt64;
+  zones @5 :UInt64;
+  body :union {
+    heartbeat @6 :Heartbeat;
+    renewal @7 :Renewal;
+    poll @8 :UInt64;
+    polled @9 :Polled;
+  }
+}
+
+struct Heartbeat {
+  # Reading of the sender's clock, echoed by the renewal.
+  sentUs @0 :UInt64;
+  # Age in ms of the store's word that `term` is the newest; absent: not known.
+  wordAgeMs @1 :UInt32 = 0xffffffff;
+  releases @2 :List(RangeRelease);
+  # Lives of the server beside the sender that have ended.
+  ended @3 :List(UInt64);
+  rateMilli @4 :UInt32;
+  positions @5 :List(UInt16);
+}
+
+struct RangeRelease { by @0 :UInt64; first @1 :UInt16; fence @2 :UInt64; handover @3 :Text; }
+
+struct Renewal {
+  sentUs @0 :UInt64;
+  # 0 if nothing was renewed.
+  leaseMs @1 :UInt32;
+  leads @2 :Bool;
+  # The leader wants to hear what the store says about its term.
+  wantsWord @3 :Bool;
+  # Members that the leader hasn't heard lately.
+  silent @4 :List(UInt64);
+}
+
+struct Polled {
+  echo @0 :UInt64;
+  # Age in ms of the last answer of the leader of `term`; absent: never heard.
+  heardMs @1 :UInt32 = 0xffffffff;
+}
+
 struct Header { name @0 :Data; value @1 :Data; }
 
 struct Request {
@@ -46,6 +96,14 @@
   configVersion @11 :UInt64;
   idempotencyKey @12 :Data;
   idempotent @13 :Bool;
+  # Rank of the request; 0 comes first.
+  rank @14 :UInt8;
+  # Time left in which an answer has its full worth, in ms.
+  goalMs @15 :UInt32;
+  # Service of the instance where the request began.
+  origin @16 :Text;
+  # Tells routes apart, for measurements.
+  route @17 :UInt64;
 }
 
 struct Answer {
@@ -57,6 +115,8 @@
     refused @3 :Refusal;
     reply @4 :Reply;
   }
+  # Time that a request arriving now is expected to take, in microseconds; 0: not known.
+  expectedUs @5 :UInt32;
 }
 
 struct Refusal {
@@ -64,6 +124,8 @@
   detail @1 :Text;
   tableVersion @2 :UInt64;
   retryMs @3 :UInt32;
+  # Whether the request was handed to an upstream.
+  sent @4 :Bool;
 }
 
 struct Reply {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 #[allow(missing_docs, clippy::all, clippy::unimplemented)]
 #[rustfmt::skip]
 pub mod schema_capnp;
+pub mod signal;
 
 pub use crate::datagram::{Body, Datagram, Error};
 pub use crate::schema_capnp as schema;
