Move the leader's decisions into the pure crate and search them; count only followers

Ruled out: the undecided write, a release stated early (both have deviating fakes that are caught). Change: heartbeats say the newest term that their sender knows; until a member follows the term, the promises of earlier leaders are taken to hold. Leader, lessor, holder and plan are pure; the daemon moves bytes. Conclusion: the store's way has one rule for taking by time and liveness that the search can show.

--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -4,13 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactushold_ownership::{Lessor, Table, Time};
+use cactushold_ownership::{Leader, Renewal, Table, Time};
 use cactushold_platform::{Error, Expected, Key, OWN_KIND, Object, Pacer, Stored};
-use cactushold_wire::signal::{Content, Renewal};
+use cactushold_wire::signal::Content;
 
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::fleet::leader::Leader;
 use crate::{clock, log};
 
 /// The object that holds the table.
@@ -201,8 +200,7 @@
                 self.note_contact(asked);
                 let now = clock::now();
                 log!(info, Event::Leading, term = next.term);
-                *self.leader.borrow_mut() =
-                    Some(Leader::new(Lessor::new(asked, now), revision, now));
+                *self.leader.borrow_mut() = Some(Leader::new(asked, revision, now));
                 self.learn_table(next);
                 tokio::task::spawn_local(Rc::clone(self).watch_entries());
                 self.announce();
--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactushold_ownership::{HolderId, LEASE, Release, Time};
-use cactushold_wire::signal::{Content, Heartbeat, Renewal, Signal};
+use cactushold_ownership::{Heartbeat, HolderId, LEASE, Release, Renewal, Time};
+use cactushold_wire::signal::{Content, Signal};
 
 use crate::fleet::Fleet;
 use crate::{clock, metric};
@@ -40,6 +40,7 @@
         let releases = self.holder.borrow().as_ref().map(|h| h.releases(now)).unwrap_or_default();
         let heartbeat = Heartbeat {
             sent: now,
+            term: self.table.borrow().term,
             word_age: self.word_age(now),
             releases: releases.iter().map(|(release, _)| release.clone()).collect(),
             ended: self.ended.borrow().clone(),
@@ -125,16 +126,12 @@
         if is_granted {
             self.publish(now);
         }
-        let sent = heartbeat.sent;
-        let (lease, wants_word, silent) = self.lead_heartbeat(from, heartbeat, now);
-        if self.is_named_leader() && source == self.shared.addresses.advertised {
-            let renewal = Renewal { sent, lease, leads: true, wants_word, silent };
+        let renewal = self.lead_heartbeat(from, heartbeat, now);
+        if source == self.shared.addresses.advertised {
             let known = self.known();
             self.on_renewal(&renewal, self.run, known.term, known.table, now);
             return;
         }
-        let leads = self.leader.borrow().is_some();
-        let renewal = Renewal { sent, lease, leads, wants_word, silent };
         self.send(source, Content::Renewal(renewal));
     }
 
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 
 use cactushold_config::{Config, Router};
 use cactushold_lease::Table as Rendered;
-use cactushold_ownership::{Holder, HolderId, Table, Time};
+use cactushold_ownership::{Holder, HolderId, Leader, Table, Time};
 use cactushold_platform::Client;
 use cactushold_wire::signal::Known;
 use tokio::net::UdpSocket;
@@ -34,7 +34,7 @@
 
 pub use self::publish::place;
 
-use self::{leader::Leader, server::Server};
+use self::server::Server;
 
 /// How often due work is looked for.
 const TICK: Duration = Duration::from_millis(25);
--- /dev/null
+++ b/crates/ownership/src/leader.rs
@@ -0,0 +1,253 @@
+//! What the leader decides: whom it renews, and the next table.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::plan::{Facts, Server, plan};
+use crate::{
+    Heartbeat, HolderId, LEASE, Lessor, Member, Position, Range, Renewal, Sample, Table, Time,
+    Traffic,
+};
+
+/// Revision of the table's object in the store.
+pub type Revision = u64;
+
+/// Without other word from the store for this long, the leader asks whether it still leads.
+const ASK_AGAIN: Duration = Duration::from_secs(3);
+/// Without word for this long, members are asked to ask.
+const WANT_WORD: Duration = Duration::from_millis(4_500);
+/// A member not heard for this long, nearly three heartbeats, counts as silent.
+const SILENT: Duration = Duration::from_millis(1_100);
+/// Time without newcomers after which the keys of a service are divided among its servers.
+const GATHER: Duration = Duration::from_millis(1_500);
+/// Time between two moves for balance, in which their effect shows in the samples.
+const BALANCE: Duration = Duration::from_millis(500);
+/// Members told of in one renewal; a datagram has room for them.
+const MOST_SILENT: usize = 64;
+
+/// One term of a leader.
+#[derive(Clone, Debug)]
+pub struct Leader {
+    lessor: Lessor,
+    since: Time,
+    /// Nothing while it isn't known what the object holds.
+    revision: Option<Revision>,
+    announced: BTreeMap<String, (HolderId, Member)>,
+    is_listed: bool,
+    /// When the latest life was announced.
+    gathered: Time,
+    samples: BTreeMap<HolderId, Sample>,
+    released: BTreeSet<(String, Position, u64)>,
+    ended: BTreeSet<HolderId>,
+    balanced: Time,
+}
+
+impl Leader {
+    /// A leader whose term was stored at `revision`; the store was asked at `asked` and answered
+    /// at `now`.
+    pub fn new(asked: Time, revision: Revision, now: Time) -> Leader {
+        Leader {
+            lessor: Lessor::new(asked, now),
+            since: now,
+            revision: Some(revision),
+            announced: BTreeMap::new(),
+            is_listed: false,
+            gathered: now,
+            samples: BTreeMap::new(),
+            released: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            balanced: now,
+        }
+    }
+
+    /// When the term began.
+    pub fn since(&self) -> Time {
+        self.since
+    }
+
+    /// When the store was last sure to name this leader.
+    pub fn assured(&self) -> Time {
+        self.lessor.assured()
+    }
+
+    /// An instance announced the life that it stands for.
+    pub fn announce(&mut self, id: HolderId, member: Member, now: Time) {
+        let instance = member.instance.clone();
+        let before = self.announced.insert(instance, (id, member));
+        if before.is_none_or(|(old, _)| old != id) {
+            self.gathered = now;
+        }
+    }
+
+    /// An instance was removed.
+    pub fn withdraw(&mut self, instance: &str) {
+        self.announced.remove(instance);
+    }
+
+    /// All that was announced is listed anew.
+    pub fn relist(&mut self) {
+        self.announced.clear();
+        self.is_listed = true;
+    }
+
+    /// Takes a member's heartbeat; `table` is the one in force.
+    pub fn hear(
+        &mut self,
+        from: HolderId,
+        heartbeat: Heartbeat,
+        table: &Table,
+        now: Time,
+    ) -> Renewal {
+        if let Some(age) = heartbeat.word_age {
+            self.lessor.assure(now.saturating_sub(age));
+        }
+        if let Some(member) = table.members.get(&from) {
+            for release in &heartbeat.releases {
+                self.released.insert((member.service.clone(), release.first, release.fence));
+            }
+        }
+        self.ended.extend(heartbeat.ended);
+        self.samples.insert(from, heartbeat.sample);
+        let follows = heartbeat.term == table.term;
+        let may = from != 0 && !self.ended.contains(&from) && self.lessor.renew(from, follows, now);
+        let silent = table.members.keys().filter(|id| !self.is_heard(**id, now));
+        Renewal {
+            sent: heartbeat.sent,
+            lease: if may { LEASE } else { Duration::ZERO },
+            leads: true,
+            wants_word: now > self.lessor.assured() + WANT_WORD,
+            silent: silent
+                .filter(|_| now > self.since + SILENT)
+                .copied()
+                .take(MOST_SILENT)
+                .collect(),
+        }
+    }
+
+    /// Whether the object has to be read before anything else.
+    pub fn has_to_read(&self, now: Time) -> bool {
+        self.revision.is_none() || now > self.lessor.assured() + ASK_AGAIN
+    }
+
+    /// The object was read, having been asked for at `asked`: it still names this leader.
+    pub fn read_back(&mut self, revision: Revision, asked: Time) {
+        self.lessor.assure(asked);
+        // At another revision no earlier write can take effect any more; at the same one, a write
+        // that wasn't answered still may.
+        if self.revision != Some(revision) {
+            self.lessor.absolve();
+        }
+        self.revision = Some(revision);
+    }
+
+    /// The table was stored.
+    pub fn stored(&mut self, table: &Table, revision: Revision, asked: Time) {
+        self.lessor.assure(asked);
+        self.lessor.absolve();
+        self.revision = Some(revision);
+        let is_open = |service: &String, first: Position, fence: u64| {
+            let range = table.locate(service, first).filter(|range| range.first == first);
+            range.is_some_and(|range| range.fence == fence && range.earlier != 0)
+        };
+        self.released.retain(|(service, first, fence)| is_open(service, *first, *fence));
+        self.ended.retain(|id| table.members.contains_key(id));
+        self.samples.retain(|id, _| table.members.contains_key(id));
+        self.lessor.retain(|id| table.members.contains_key(&id));
+    }
+
+    /// The object wasn't at the expected revision. Holders that an unanswered write took ranges
+    /// from are renewed again only once the object was read.
+    pub fn conflicted(&mut self) {
+        self.revision = None;
+    }
+
+    /// The next table, if anything changes, and the revision that it replaces. Holders that lose
+    /// something because they lapsed are renewed no more until the write is decided.
+    pub fn next_table<'a>(
+        &mut self,
+        table: &Table,
+        keyed: impl Iterator<Item = &'a str>,
+        is_zone_in: impl Fn(&str) -> bool,
+        now: Time,
+    ) -> Option<(Table, Revision)> {
+        let revision = self.revision.filter(|_| self.is_listed && self.lessor.is_valid(now))?;
+        let mut next = table.clone();
+        next.version += 1;
+        let mut changed = self.update_members(&mut next);
+        let facts = self.facts(&next, is_zone_in, now);
+        let may_balance = now > self.balanced + BALANCE;
+        for service in keyed {
+            let is_divided = next.services.contains_key(service);
+            if !is_divided && now < self.gathered + GATHER {
+                continue;
+            }
+            let servers = self.servers(service, &facts, now);
+            let samples = servers.iter().filter_map(|server| self.samples.get(&server.id));
+            let traffic = Traffic::new(samples);
+            let before = next.services.get(service).cloned();
+            plan(&mut next, service, &servers, &traffic, &facts, may_balance);
+            changed |= before.as_ref() != next.services.get(service);
+        }
+        if !changed {
+            return None;
+        }
+        if may_balance {
+            self.balanced = now;
+        }
+        let lapsed = facts.gone.iter().copied().filter(|id| self.lessor.has_lapsed(*id, now));
+        let lapsed: Vec<HolderId> = lapsed.collect();
+        self.lessor.condemn(lapsed);
+        Some((next, revision))
+    }
+
+    /// Has the table name the members that announced themselves; whether it changed.
+    fn update_members(&self, table: &mut Table) -> bool {
+        let announced = self.announced.values().map(|(id, member)| {
+            let serves = member.serves && !self.ended.contains(id);
+            (*id, Member { serves, ..member.clone() })
+        });
+        let members: BTreeMap<HolderId, Member> = announced.collect();
+        let changed = members != table.members;
+        table.members = members;
+        changed
+    }
+
+    fn facts(&self, table: &Table, is_zone_in: impl Fn(&str) -> bool, now: Time) -> Facts {
+        let members = table.members.iter();
+        let leaving = members.filter(|(_, member)| !member.serves || !is_zone_in(&member.zone));
+        Facts {
+            gone: self.gone(table, now),
+            leaving: leaving.map(|(id, _)| *id).collect(),
+            released: self.released.clone(),
+        }
+    }
+
+    /// Lives whose ranges may go to others: replaced by a newer life, ended, or lapsed.
+    fn gone(&self, table: &Table, now: Time) -> BTreeSet<HolderId> {
+        let named = |range: &Range| [range.holder, range.earlier];
+        let holders = table.services.values().flatten().flat_map(named).filter(|id| *id != 0);
+        let is_gone = |id: &HolderId| {
+            !table.members.contains_key(id)
+                || self.ended.contains(id)
+                || self.lessor.has_lapsed(*id, now)
+        };
+        holders.filter(is_gone).collect()
+    }
+
+    fn is_heard(&self, id: HolderId, now: Time) -> bool {
+        self.lessor.heard(id).is_some_and(|at| now < at + SILENT)
+    }
+
+    /// Servers of a service that may be given ranges.
+    fn servers(&self, service: &str, facts: &Facts, now: Time) -> Vec<Server> {
+        let fit = self.announced.values().filter(|(id, member)| {
+            member.service == service
+                && member.serves
+                && !facts.gone.contains(id)
+                && !facts.leaving.contains(id)
+                && !self.ended.contains(id)
+                && self.is_heard(*id, now)
+        });
+        fit.map(|(id, _)| Server { id: *id, capacity: 1.0 }).collect()
+    }
+}
--- a/crates/ownership/src/lessor.rs
+++ b/crates/ownership/src/lessor.rs
@@ -12,22 +12,30 @@
 /// use std::time::Duration;
 /// let start = Duration::from_secs(100);
 /// let mut lessor = Lessor::new(start, start);
-/// assert!(lessor.renew(7, start));
+/// assert!(lessor.renew(7, true, start));
 /// assert!(!lessor.has_lapsed(7, start + LEASE), "clocks may differ");
 /// assert!(lessor.has_lapsed(7, start + LEASE.mul_f64(1.1)));
 /// assert!(!lessor.has_lapsed(8, start + LEASE.mul_f64(1.1)), "an earlier leader may have renewed it");
-/// assert!(!lessor.renew(7, start + AUTHORITY), "the store was not heard for too long");
+/// assert!(!lessor.renew(7, true, start + AUTHORITY), "the store was not heard for too long");
 /// ```
 #[derive(Clone, Debug)]
 pub struct Lessor {
     assured: Time,
     /// When the last renewal of any earlier leader has surely ended.
     inherited_until: Time,
-    renewals: BTreeMap<HolderId, Time>,
+    renewals: BTreeMap<HolderId, Renewed>,
     /// Holders that a write which may yet take effect treats as lapsed.
     condemned: BTreeSet<HolderId>,
 }
 
+/// The latest renewal of a holder.
+#[derive(Clone, Copy, Debug)]
+struct Renewed {
+    at: Time,
+    /// Whether the holder is known to take no renewals of earlier leaders any more.
+    follows: bool,
+}
+
 impl Lessor {
     /// A leader whose term the store acknowledged at `now`, having been asked at `asked`.
     pub fn new(asked: Time, now: Time) -> Lessor {
@@ -56,23 +64,29 @@
     }
 
     /// Renews a holder's authority for [`LEASE`], counted by the holder from when it asked.
-    pub fn renew(&mut self, holder: HolderId, now: Time) -> bool {
+    /// `follows` tells whether it knew this leader's term when it asked: if not, it may still be
+    /// renewed by an earlier leader.
+    pub fn renew(&mut self, holder: HolderId, follows: bool, now: Time) -> bool {
         let may = self.is_valid(now) && !self.condemned.contains(&holder);
         if may {
-            self.renewals.insert(holder, now);
+            let followed = self.renewals.get(&holder).is_some_and(|renewed| renewed.follows);
+            self.renewals.insert(holder, Renewed { at: now, follows: follows || followed });
         }
         may
     }
 
     /// When the holder last renewed here.
     pub fn heard(&self, holder: HolderId) -> Option<Time> {
-        self.renewals.get(&holder).copied()
+        self.renewals.get(&holder).map(|renewed| renewed.at)
     }
 
     /// Whether the holder's authority has surely ended.
     pub fn has_lapsed(&self, holder: HolderId, now: Time) -> bool {
         match self.renewals.get(&holder) {
-            Some(at) => now >= *at + with_drift(LEASE),
+            Some(Renewed { at, follows: true }) => now >= *at + with_drift(LEASE),
+            Some(Renewed { at, follows: false }) => {
+                now >= self.inherited_until.max(*at + with_drift(LEASE))
+            }
             None => now >= self.inherited_until,
         }
     }
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -8,14 +8,18 @@
 //! All machines are pure: they do no I/O and take the present time as an argument.
 
 mod holder;
+mod leader;
 mod lessor;
+mod message;
 mod plan;
 mod table;
 mod traffic;
 
 pub use crate::{
     holder::{Grant, Hold, Holder, Release, Report},
+    leader::{Leader, Revision},
     lessor::Lessor,
+    message::{Heartbeat, Renewal},
     plan::{Facts, Server, plan},
     table::{Member, Range, Table},
     traffic::{Sample, Traffic},
--- /dev/null
+++ b/crates/ownership/src/message.rs
@@ -0,0 +1,37 @@
+//! What members and the leader tell each other.
+
+use std::time::Duration;
+
+use crate::{HolderId, Release, Sample, Term, Time};
+
+/// What a member tells the leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Heartbeat {
+    /// Reading of the sender's clock.
+    pub sent: Time,
+    /// Newest term known to the sender: it takes renewals of no earlier one.
+    pub term: Term,
+    /// Age of the store's word that the sender's newest term is in force.
+    pub word_age: Option<Duration>,
+    /// Ranges that the sender's server released.
+    pub releases: Vec<Release>,
+    /// Lives of the server beside the sender that have ended.
+    pub ended: Vec<HolderId>,
+    /// What its server was asked for lately.
+    pub sample: Sample,
+}
+
+/// What the leader answers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Renewal {
+    /// The member's reading of its clock when it asked.
+    pub sent: Time,
+    /// For how long it was renewed; zero if it wasn't.
+    pub lease: Duration,
+    /// Whether the answering process leads.
+    pub leads: bool,
+    /// Whether it wants to hear the store's word on its term.
+    pub wants_word: bool,
+    /// Members not heard lately.
+    pub silent: Vec<HolderId>,
+}
--- /dev/null
+++ b/crates/ownership/tests/world/server.rs
@@ -0,0 +1,148 @@
+//! A server that holds what it is granted, on its own slow clock.
+
+use std::time::Duration;
+
+use cactushold_ownership::{Grant, Hold, HolderId, Position, Report, Table, Time};
+
+/// How much slower a server's clock may run.
+const SLOWEST: f64 = 0.02;
+
+#[derive(Clone, Debug)]
+struct Held {
+    hold: Hold,
+    until: Time,
+    /// When work on a range that it has to give up ends.
+    busy_until: Option<Time>,
+}
+
+/// One life of a server.
+#[derive(Debug)]
+pub struct Server {
+    pub born: u64,
+    pub is_alive: bool,
+    slowness: f64,
+    held: Vec<Held>,
+    freed: Vec<(Position, Position, String)>,
+    fault: Option<&'static str>,
+}
+
+impl Server {
+    pub fn new(born: u64, random: &mut fastrand::Rng) -> Server {
+        let slowness = 1.0 + SLOWEST * random.f64();
+        Server { born, is_alive: true, slowness, held: Vec::new(), freed: Vec::new(), fault: None }
+    }
+
+    fn drop_expired(&mut self, now: Time) {
+        self.held.retain(|held| now < held.until);
+    }
+
+    /// Whether it has to give something up and hasn't yet.
+    pub fn is_draining(&self, now: Time) -> bool {
+        self.held.iter().any(|held| held.busy_until.is_some() && now < held.until)
+    }
+
+    pub fn report(&mut self, now: Time) -> Report {
+        self.drop_expired(now);
+        let mut freed = std::mem::take(&mut self.freed);
+        self.held.retain(|held| {
+            let is_free = held.busy_until.is_some_and(|until| until <= now);
+            if is_free {
+                freed.push((held.hold.first, held.hold.last, "token".to_owned()));
+            }
+            !is_free
+        });
+        Report { holds: self.held.iter().map(|held| held.hold).collect(), freed }
+    }
+
+    /// Takes the answer to a report that was sent at `sent`.
+    pub fn take(
+        &mut self,
+        grants: &[Grant],
+        sent: Time,
+        time: Duration,
+        now: Time,
+        random: &mut fastrand::Rng,
+    ) {
+        let until = sent + time.mul_f64(self.slowness);
+        let old = std::mem::take(&mut self.held);
+        for held in old {
+            for part in outside(held.hold, grants) {
+                let work = Duration::from_millis(random.u64(..300));
+                let busy_until = held.busy_until.unwrap_or(now + work);
+                self.held.push(Held {
+                    hold: part,
+                    until: held.until,
+                    busy_until: Some(busy_until),
+                });
+            }
+            for grant in grants.iter().filter(|grant| overlaps(grant.hold, held.hold)) {
+                if grant.hold.fence < held.hold.fence {
+                    self.fault = Some("a grant under a lower fence");
+                }
+            }
+        }
+        for grant in grants {
+            self.held.push(Held { hold: grant.hold, until, busy_until: None });
+        }
+    }
+
+    /// Two holds of the same keys by this and another server.
+    pub fn overlap(&self, other: &Server, now: Time) -> Option<(Hold, Hold)> {
+        if !self.is_alive || !other.is_alive {
+            return None;
+        }
+        let live = |held: &&Held| now < held.until;
+        self.held.iter().filter(live).find_map(|held| {
+            let mut others = other.held.iter().filter(live);
+            let found = others.find(|found| overlaps(held.hold, found.hold));
+            found.map(|found| (held.hold, found.hold))
+        })
+    }
+
+    pub fn fence_fault(&self) -> Option<&'static str> {
+        self.fault
+    }
+
+    /// Positions that it holds and doesn't have to give up.
+    pub fn held(&self, now: Time) -> u32 {
+        if !self.is_alive {
+            return 0;
+        }
+        let kept = self.held.iter().filter(|held| now < held.until && held.busy_until.is_none());
+        kept.map(|held| u32::from(held.hold.last - held.hold.first) + 1).sum()
+    }
+}
+
+fn overlaps(a: Hold, b: Hold) -> bool {
+    a.first <= b.last && b.first <= a.last
+}
+
+/// The parts of a hold that no grant covers.
+fn outside(hold: Hold, grants: &[Grant]) -> Vec<Hold> {
+    let mut parts = Vec::new();
+    let mut next = u32::from(hold.first);
+    let mut inside: Vec<Hold> =
+        grants.iter().map(|grant| grant.hold).filter(|grant| overlaps(*grant, hold)).collect();
+    inside.sort_by_key(|grant| grant.first);
+    for grant in inside {
+        if u32::from(grant.first) > next {
+            let last = grant.first - 1;
+            parts.push(Hold { first: next as Position, last, fence: hold.fence });
+        }
+        next = next.max(u32::from(grant.last) + 1);
+    }
+    if next <= u32::from(hold.last) {
+        parts.push(Hold { first: next as Position, ..hold });
+    }
+    parts
+}
+
+/// Everything that the table gives a holder, proven free or not.
+pub fn all_grants(table: &Table, service: &str, id: HolderId) -> Vec<Grant> {
+    let mine = table.spans(service).filter(|(range, _)| range.holder == id);
+    let grants = mine.map(|(range, last)| Grant {
+        hold: Hold { first: range.first, last, fence: range.fence },
+        handover: String::new(),
+    });
+    grants.collect()
+}
--- /dev/null
+++ b/crates/ownership/tests/world/store.rs
@@ -0,0 +1,121 @@
+//! One object with a revision, entries, and writes that are lost or take effect late.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_ownership::{HolderId, Table, Time};
+
+/// What the writer learns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done(u64),
+    Conflict,
+    Lost,
+}
+
+#[derive(Debug)]
+struct Late {
+    at: Time,
+    expected: u64,
+    table: Table,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    revision: u64,
+    /// Revision of the table.
+    at: u64,
+    table: Arc<Table>,
+    entries: BTreeMap<usize, (HolderId, u64)>,
+    late: Vec<Late>,
+    down_until: Time,
+    lossy_until: Time,
+}
+
+impl Store {
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    pub fn is_reachable(&self, now: Time) -> bool {
+        now >= self.down_until
+    }
+
+    pub fn disturb(&mut self, until: Time, random: &mut fastrand::Rng) {
+        if random.bool() {
+            self.down_until = until;
+        } else {
+            self.lossy_until = until;
+        }
+    }
+
+    pub fn read(&self) -> (u64, Arc<Table>) {
+        (self.at, Arc::clone(&self.table))
+    }
+
+    pub fn entries(&self) -> Vec<(usize, HolderId)> {
+        self.entries.iter().map(|(instance, (id, _))| (*instance, *id)).collect()
+    }
+
+    /// The identity of a life: a known one keeps its own.
+    pub fn register(&mut self, instance: usize, born: u64) -> HolderId {
+        if let Some((id, known)) = self.entries.get(&instance)
+            && *known == born
+        {
+            return *id;
+        }
+        self.revision += 1;
+        self.entries.insert(instance, (self.revision, born));
+        self.revision
+    }
+
+    pub fn write(
+        &mut self,
+        table: Table,
+        expected: u64,
+        now: Time,
+        random: &mut fastrand::Rng,
+    ) -> Outcome {
+        if now < self.lossy_until {
+            match random.u32(..4) {
+                0 => {
+                    let delay = Duration::from_millis(random.u64(500..6_000));
+                    self.late.push(Late { at: now + delay, expected, table });
+                    return Outcome::Lost;
+                }
+                1 => {
+                    self.apply(table, expected);
+                    return Outcome::Lost;
+                }
+                2 => return Outcome::Lost,
+                _ => {}
+            }
+        }
+        if self.apply(table, expected) { Outcome::Done(self.at) } else { Outcome::Conflict }
+    }
+
+    fn apply(&mut self, table: Table, expected: u64) -> bool {
+        if expected != self.at {
+            return false;
+        }
+        self.revision += 1;
+        self.at = self.revision;
+        self.table = Arc::new(table);
+        true
+    }
+
+    pub fn next_late(&self) -> Option<Time> {
+        self.late.iter().map(|late| late.at).min()
+    }
+
+    pub fn apply_late(&mut self, now: Time) {
+        let (due, rest) = std::mem::take(&mut self.late).into_iter().partition(|l| l.at <= now);
+        self.late = rest;
+        let due: Vec<Late> = due;
+        for late in due {
+            self.apply(late.table, late.expected);
+        }
+    }
+}
--- a/crates/wire/src/signal.rs
+++ b/crates/wire/src/signal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactushold_ownership::{HolderId, Release, Sample, Term, Time, Version};
+use cactushold_ownership::{Heartbeat, HolderId, Release, Renewal, Sample, Term, Time, Version};
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize_packed;
 
@@ -29,36 +29,6 @@
     pub zones: u64,
 }
 
-/// What a member tells the leader.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Heartbeat {
-    /// Reading of the sender's clock.
-    pub sent: Time,
-    /// Age of the store's word that the known term is the newest.
-    pub word_age: Option<Duration>,
-    /// Ranges that the sender's server released.
-    pub releases: Vec<Release>,
-    /// Lives of the server beside the sender that have ended.
-    pub ended: Vec<HolderId>,
-    /// What its server was asked for lately.
-    pub sample: Sample,
-}
-
-/// What the leader answers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Renewal {
-    /// The member's reading of its clock when it asked.
-    pub sent: Time,
-    /// For how long it was renewed; zero if it wasn't.
-    pub lease: Duration,
-    /// Whether the answering process leads.
-    pub leads: bool,
-    /// Whether it wants to hear the store's word on its term.
-    pub wants_word: bool,
-    /// Members not heard lately.
-    pub silent: Vec<HolderId>,
-}
-
 /// What a signal carries.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Content {
@@ -136,7 +106,9 @@
             zones: root.get_zones(),
         };
         let content = match root.get_body().which().map_err(|_| Error::Unknown)? {
-            signal::body::Heartbeat(heartbeat) => Content::Heartbeat(read_heartbeat(heartbeat?)?),
+            signal::body::Heartbeat(heartbeat) => {
+                Content::Heartbeat(read_heartbeat(heartbeat?, known.term)?)
+            }
             signal::body::Renewal(renewal) => Content::Renewal(read_renewal(renewal?)?),
             signal::body::Poll(echo) => Content::Poll(echo),
             signal::body::Polled(polled) => {
@@ -174,13 +146,14 @@
     out.set_positions(heartbeat.sample.positions.as_slice()).ok();
 }
 
-fn read_heartbeat(reader: heartbeat::Reader<'_>) -> Result<Heartbeat, Error> {
+fn read_heartbeat(reader: heartbeat::Reader<'_>, term: Term) -> Result<Heartbeat, Error> {
     let mut releases = Vec::new();
     for entry in reader.get_releases()? {
         releases.push(read_release(entry)?);
     }
     Ok(Heartbeat {
         sent: Time::from_micros(reader.get_sent_us()),
+        term,
         word_age: span(reader.get_word_age_ms()),
         releases,
         ended: reader.get_ended()?.iter().collect(),
