--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    fn is_leading(&self) -> bool {
+    pub(super) fn is_leading(&self) -> bool {
         self.leader.borrow().is_some()
     }
 
--- a/crates/daemon/src/fleet/stop.rs
+++ b/crates/daemon/src/fleet/stop.rs
@@ -31,11 +31,11 @@
         }
         // From now on nothing new is taken, neither from callers nor from other daemons.
         self.shared.guard().close(Time::ZERO);
+        self.shared.stop.send_replace(true);
         while clock::now() < limit && self.is_busy() {
             tokio::time::sleep(POLL).await;
         }
         self.resign();
-        self.shared.stop.send_replace(true);
         log!(info, Event::Stopped, incarnation = self.id());
     }
 
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -11,9 +11,12 @@
 use crate::fleet::Fleet;
 use crate::{clock, log};
 
-/// How long a watch waits at the store. A watch that fell silent is noticed after it, unless a
-/// peer tells of a newer version first.
+/// How long a watch waits at the store. A watch that fell silent is noticed after it, unless the
+/// leader tells of a newer version first.
 const WATCH: Duration = Duration::from_secs(10);
+/// How long the leader's watches wait: through its heartbeats the others learn of what their own
+/// watches miss, well before a change has to be in force.
+const LEADERS_WATCH: Duration = Duration::from_millis(1_500);
 
 /// A kind that is followed, and how far it was read.
 struct Followed {
@@ -62,7 +65,8 @@
                 Ok(Read::All(listing.objects))
             }
             Some(after) => {
-                let changes = self.platform.watch(followed.kind, after, WATCH).await?;
+                let wait = if self.is_leading() { LEADERS_WATCH } else { WATCH };
+                let changes = self.platform.watch(followed.kind, after, wait).await?;
                 followed.after = Some(changes.revision.max(after));
                 Ok(Read::Changed(changes.changes))
             }
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -66,7 +66,7 @@
 /// Runs a request: one attempt after another, and for idempotent ones a second one beside the
 /// first when that takes unusually long.
 pub async fn run(worker: &Rc<Worker>, request: Request) -> Answer {
-    worker.budget.borrow_mut().earn();
+    worker.budget(&request.service).earn();
     let mut plan = Plan::new(worker, &request);
     let mut running = FuturesUnordered::new();
     running.push(attempt(worker, &request, plan.target()?));
@@ -87,7 +87,7 @@
             }
             () = tokio::time::sleep(hedge.unwrap_or_default()), if hedge.is_some() => {
                 plan.hedged = true;
-                if worker.budget.borrow_mut().spend() {
+                if worker.budget(&request.service).spend() {
                     metrics::counter!(metric::HEDGES).increment(1);
                     running.push(attempt(worker, &request, plan.target()?));
                 }
@@ -208,7 +208,7 @@
             Kind::LinkLost => self.failures <= MAX_FREE_LOSSES,
             _ => false,
         };
-        if !is_free && !self.worker.budget.borrow_mut().spend() {
+        if !is_free && !self.worker.budget(&self.request.service).spend() {
             return self.give_up();
         }
         metric::retried(kind);
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -1,6 +1,6 @@
 //! A worker thread: callers, daemons' calls and the upstream, on one event loop.
 
-use std::cell::RefCell;
+use std::cell::{RefCell, RefMut};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::rc::Rc;
@@ -32,8 +32,8 @@
     pub links: Links,
     /// Connections to the upstream.
     pub upstream: Rc<Upstream>,
-    /// Bounds retries and hedges.
-    pub budget: RefCell<Budget>,
+    /// Bounds retries and hedges, by service.
+    budgets: RefCell<HashMap<String, Budget>>,
     /// Latency of attempts by service, to time hedges by.
     latency: RefCell<HashMap<String, Percentile>>,
     /// Source of jitter and choice.
@@ -41,6 +41,13 @@
 }
 
 impl Worker {
+    /// The budget of a service's retries and hedges.
+    pub fn budget(&self, service: &str) -> RefMut<'_, Budget> {
+        RefMut::map(self.budgets.borrow_mut(), |budgets| {
+            budgets.entry(service.to_owned()).or_insert_with(|| budget(&self.shared))
+        })
+    }
+
     /// The latency that few attempts of a service exceed.
     pub fn usual_latency(&self, service: &str) -> Duration {
         let latency = self.latency.borrow();
@@ -102,7 +109,7 @@
             shared: Arc::clone(&shared),
             links: Links::default(),
             upstream: Rc::clone(&upstream),
-            budget: RefCell::new(budget(shared.settings.limits.retry_percent)),
+            budgets: RefCell::default(),
             latency: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
         });
@@ -113,11 +120,25 @@
     })
 }
 
-fn budget(percent: u32) -> Budget {
-    let reserve = if percent == 0 { 0.0 } else { RETRY_RESERVE };
-    Budget::new(f64::from(percent) / 100.0, reserve)
+/// This worker's part of what all daemons together may retry.
+fn budget(shared: &Shared) -> Budget {
+    let percent = shared.settings.limits.retry_percent;
+    if percent == 0 {
+        return Budget::new(0.0, 0.0);
+    }
+    if !shared.is_told() {
+        return Budget::new(f64::from(percent) / 100.0, RETRY_RESERVE);
+    }
+    let sharers = shared.view().table.members.len().max(1) * shared.settings.limits.workers;
+    let bounds = &shared.bounds;
+    let reserve = bounds.retry_reserve * BOUND_PART / sharers as f64;
+    Budget::new(bounds.retry_part * BOUND_PART, reserve.max(1.0))
 }
 
+/// Part of the platform's bound on further attempts that is used: calls of repeated runs, and
+/// requests that change their route, count besides.
+const BOUND_PART: f64 = 0.6;
+
 /// Waits for open requests, within the limit for a graceful shutdown.
 async fn finish(shared: &Shared) {
     let limit = Duration::from_millis(shared.settings.limits.drain_ms);
