Move keys by pressure, several at a time, and wait for planned moves

Change: heartbeats tell the slots in use; a server gives keys up when pressed, enough to level it with the least pressed one by the table's loads, then rests until the move shows; newcomers get a part at once; a request whose key is on a planned move waits longer than one whose owner is lost.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -42,6 +42,8 @@
     pub rank: u8,
     /// When an answer loses worth, on this instance's clock.
     pub goal: Time,
+    /// When it came in, on this instance's clock.
+    pub arrived: Time,
     /// Route by which it came.
     pub route: RouteId,
     /// Service of the instance where it began.
--- a/crates/daemon/src/guard/sampler.rs
+++ b/crates/daemon/src/guard/sampler.rs
@@ -37,6 +37,28 @@
         let rate = positions.len() as f64 / WINDOW.as_secs_f64();
         let told = most.min(positions.len());
         let pick = |at: usize| positions[(2 * at + 1) * positions.len() / (2 * told)];
-        Sample { rate, positions: (0..told).map(pick).collect() }
+        Sample { rate, pressure: 0.0, positions: (0..told).map(pick).collect() }
+    }
+}
+
+/// Moving average, over time, of how much of a server is in use.
+#[derive(Debug, Default)]
+pub(super) struct Pressure {
+    mean: f64,
+    at: Time,
+}
+
+impl Pressure {
+    /// Notes what was in use until `now`.
+    pub(super) fn note(&mut self, used: f64, now: Time) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = now;
+        let weight = 1.0 - (-elapsed / WINDOW.as_secs_f64()).exp();
+        self.mean += weight * (used - self.mean);
+    }
+
+    /// The average.
+    pub(super) fn mean(&self) -> f64 {
+        self.mean
     }
 }
--- a/crates/daemon/src/guard/table.rs
+++ b/crates/daemon/src/guard/table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactushold_admission::{Arrival, Gate, Refusal as Turned, Signal, Ticket, Visit};
+use cactushold_admission::{Arrival, Gate, Load, Refusal as Turned, Signal, Ticket, Visit};
 use cactushold_attempt::{Kind, Records};
 use cactushold_config::{Config, Service, settings::Limits};
 use cactushold_lease::{SliceId, Time};
@@ -14,7 +14,7 @@
 
 use crate::exchange::{Refusal, Request, RouteId};
 use crate::guard::estimate::Estimates;
-use crate::guard::sampler::Sampler;
+use crate::guard::sampler::{Pressure, Sampler};
 
 /// How long an answer is kept for a repeated `Idempotency-Key`.
 pub const KEEP_ANSWERS: Duration = Duration::from_secs(600);
@@ -46,6 +46,7 @@
     pub records: Records<Recorded>,
     estimates: Estimates,
     sampler: Sampler,
+    pressure: Pressure,
     /// When the server said that it leaves.
     closed_at: Option<Time>,
 }
@@ -72,6 +73,7 @@
             records: Records::new(KEEP_ANSWERS, MAX_ANSWERS),
             estimates: Estimates::default(),
             sampler: Sampler::default(),
+            pressure: Pressure::default(),
             closed_at: None,
         }
     }
@@ -111,7 +113,14 @@
 
     /// What the server was asked for lately, with `most` positions at most.
     pub fn sample(&mut self, most: usize, now: Time) -> Sample {
-        self.sampler.sample(most, now)
+        self.note_pressure(now);
+        Sample { pressure: self.pressure.mean(), ..self.sampler.sample(most, now) }
+    }
+
+    fn note_pressure(&mut self, now: Time) {
+        let load = self.gate.load(now);
+        let used = f64::from(load.running) + load.waiting as f64;
+        self.pressure.note(used / f64::from(load.limit.max(1)), now);
     }
 
     /// Notes how long a run took.
@@ -130,7 +139,7 @@
     }
 
     /// How busy the upstream is.
-    pub fn load(&self, now: Time) -> cactushold_admission::Load {
+    pub fn load(&self, now: Time) -> Load {
         self.gate.load(now)
     }
 
@@ -143,13 +152,14 @@
             deadline: request.deadline,
             work: self.estimates.of(request.route),
         };
-        let wait = self.gate.load(now).wait;
+        self.note_pressure(now);
+        let load = self.gate.load(now);
         match self.gate.arrive(visit, now) {
             Arrival::Admitted => Ok(Entry::Admitted),
-            Arrival::Refused(turned) => Err(refusal(turned, wait)),
+            Arrival::Refused(turned) => Err(refusal(turned, load)),
             Arrival::Queued(ticket, evicted) => {
                 if let Some(evicted) = evicted {
-                    self.answer(evicted, Err(refusal(Turned::Full, wait)));
+                    self.answer(evicted, Err(refusal(Turned::Full, load)));
                 }
                 let (sender, call) = oneshot::channel();
                 self.calls.insert(ticket, sender);
@@ -160,15 +170,16 @@
 
     /// A request ended or gave its slot back; lets the next ones run.
     pub fn leave(&mut self, signal: Signal, config: &Config, now: Time) {
+        self.note_pressure(now);
         self.gate.end(signal);
         self.call_next(config, now);
     }
 
     /// Lets waiting requests run as far as there are slots.
     pub fn call_next(&mut self, config: &Config, now: Time) {
-        let wait = self.gate.load(now).wait;
+        let load = self.gate.load(now);
         for ticket in self.gate.expire(now) {
-            self.answer(ticket, Err(refusal(Turned::Expired(wait), wait)));
+            self.answer(ticket, Err(refusal(Turned::Expired(load.wait), load)));
         }
         let weight = |name: &str| config.workspaces.get(name).map_or(1, |found| found.weight);
         while let Some(ticket) = self.gate.next(now, weight) {
@@ -216,12 +227,15 @@
     }
 }
 
-fn refusal(turned: Turned, wait: Time) -> Refusal {
+fn refusal(turned: Turned, load: Load) -> Refusal {
     let (kind, wait) = match turned {
-        Turned::Full => (Kind::QueueFull, wait),
+        Turned::Full => (Kind::QueueFull, load.wait),
         // There is no room in time here; there may be elsewhere.
         Turned::Expired(wait) if !wait.is_zero() => (Kind::QueueFull, wait),
         Turned::Expired(wait) => (Kind::Expired, wait),
     };
-    Refusal { retry: Some(wait), ..Refusal::new(kind) }
+    let Load { running, waiting, limit, .. } = load;
+    let wait_ms = wait.as_millis();
+    let detail = format!("{running} of {limit} slots, {waiting} waiting, {wait_ms} ms");
+    Refusal::new(kind).with_retry(wait).with_detail(detail)
 }
--- a/crates/daemon/src/ingress/admit.rs
+++ b/crates/daemon/src/ingress/admit.rs
@@ -74,6 +74,7 @@
         idempotency_key,
         rank: 0,
         goal: now,
+        arrived: now,
         route: 0,
         origin: String::new(),
         max_attempts: u32::MAX,
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -18,6 +18,10 @@
 const MAX_FREE_LOSSES: u32 = 2;
 /// Failed tries of a request, after which a caller of a told upstream is told to come back.
 const MOST_FAILURES: u32 = 4;
+/// Part of a request's time for which a planned move is waited for.
+const MOVE_PART: f64 = 0.6;
+/// Part of the time to its goal for which another holder is waited for.
+const LOSS_PART: f64 = 0.5;
 /// Time after which callers are told to come back when a key has no owner.
 const OWNER_SOON: Duration = Duration::from_millis(300);
 /// Attempts under way at a time.
@@ -194,11 +198,21 @@
     /// way is waited for as long as the goal can be reached, other refusals for a few tries.
     fn has_waited_enough(&self, kind: Kind) -> bool {
         match kind {
-            Kind::NotOwner => clock::now() >= self.request.goal,
+            Kind::NotOwner => clock::now() >= self.owner_wait_ends(),
             _ => self.failures >= MOST_FAILURES,
         }
     }
 
+    /// Until when a holder is waited for: a planned move ends soon; after a loss, a caller is better
+    /// told early when to come back.
+    fn owner_wait_ends(&self) -> Time {
+        let Request { goal, deadline, arrived, .. } = *self.request;
+        if self.targets.is_moving() {
+            return arrived + (deadline.saturating_sub(arrived)).mul_f64(MOVE_PART);
+        }
+        arrived + (goal.saturating_sub(arrived)).mul_f64(LOSS_PART)
+    }
+
     /// A misdirected request costs no upstream anything and is free, as is the loss of a
     /// connection for each request on it; others need the budget.
     fn pause(&mut self, kind: Kind, is_sent: bool) -> Step {
--- a/crates/daemon/src/ingress/route.rs
+++ b/crates/daemon/src/ingress/route.rs
@@ -58,6 +58,7 @@
         idempotency_key: None,
         idempotent: route.is_idempotent,
         goal: now + route.goal,
+        arrived: now,
         route: route_id(route),
         origin: worker.shared.settings.instance.service.clone(),
         max_attempts: route.max_attempts,
--- a/crates/daemon/src/ingress/targets.rs
+++ b/crates/daemon/src/ingress/targets.rs
@@ -13,6 +13,7 @@
     turn: usize,
     tried: Vec<Incarnation>,
     may_probe: bool,
+    is_moving: bool,
 }
 
 impl Targets {
@@ -26,8 +27,15 @@
                 owners.push(owner);
             }
         }
+        let is_moving = slice.is_some_and(|slice| slice.previous.is_some());
         let slice = slice.map(|slice| slice.id);
-        Targets { slice, owners, turn: 0, tried: Vec::new(), may_probe: request.idempotent }
+        let may_probe = request.idempotent;
+        Targets { slice, owners, turn: 0, tried: Vec::new(), may_probe, is_moving }
+    }
+
+    /// Whether the key is on its way from one holder to another.
+    pub fn is_moving(&self) -> bool {
+        self.is_moving
     }
 
     /// The next daemon to try.
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -61,6 +61,7 @@
         idempotent: reader.get_idempotent(),
         rank: reader.get_rank(),
         goal: now + Duration::from_millis(reader.get_goal_ms().into()),
+        arrived: now,
         route: reader.get_route(),
         origin: reader.get_origin()?.to_str()?.to_owned(),
         // Counted where the request came in.
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -248,6 +248,11 @@
                 && !self.ended.contains(id)
                 && self.is_heard(*id, now)
         });
-        fit.map(|(id, _)| Server { id: *id, capacity: 1.0 }).collect()
+        let none = Sample::default();
+        let servers = fit.map(|(id, _)| {
+            let sample = self.samples.get(id).unwrap_or(&none);
+            Server { id: *id, pressure: sample.pressure, rate: sample.rate }
+        });
+        servers.collect()
     }
 }
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -4,20 +4,26 @@
 
 use crate::{HolderId, Position, Range, Table, Traffic};
 
-/// Load over the even part from which a server gives some up.
-const CROWDED: f64 = 1.25;
-/// Ranges of a service that may be on their way at a time.
-const MOVES: usize = 4;
-/// Load, in requests a second, below which nothing is moved for balance.
-const LEAST_MOVE: f64 = 3.0;
+/// Pressure from which a server gives some of its keys up.
+const PRESSED: f64 = 0.6;
+/// Pressure by which another server has to be lower to get them.
+const RELIEF: f64 = 0.25;
+/// Part of the load that levels two servers that is moved at a time.
+const STEP: f64 = 0.8;
+/// Part of an even load that a server without keys is given at first.
+const FIRST_PART: f64 = 0.5;
+/// Ranges that may be on their way at a time, for each server.
+const MOVES: usize = 2;
 
 /// A server of a service that may be given ranges.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Server {
     /// Its life.
     pub id: HolderId,
-    /// Load that it bears relative to the others.
-    pub capacity: f64,
+    /// Slots in use, as a part of all; above 1 if requests wait.
+    pub pressure: f64,
+    /// Requests a second that it was asked for.
+    pub rate: f64,
 }
 
 /// What is known beside the table.
@@ -121,45 +127,106 @@
     loads: &BTreeMap<HolderId, f64>,
     except: HolderId,
 ) -> Option<HolderId> {
-    let load = |server: &&Server| loads.get(&server.id).copied().unwrap_or(0.0) / server.capacity;
+    let load = |server: &&Server| loads.get(&server.id).copied().unwrap_or(0.0);
     let others = servers.iter().filter(|server| server.id != except);
     others.min_by(|a, b| load(a).total_cmp(&load(b))).map(|server| server.id)
 }
 
-/// Moves the densest part of the most loaded server's keys to the least loaded one.
+/// A part of one server's load that another one is to get.
+struct Shift {
+    from: HolderId,
+    to: HolderId,
+    load: f64,
+}
+
+/// Moves the densest parts of pressed servers' keys to those with room, and some to a newcomer.
 fn balance(table: &mut Table, service: &str, servers: &[Server], traffic: &Traffic) -> bool {
-    let moving = table.spans(service).filter(|(range, _)| range.earlier != 0).count();
-    if moving >= MOVES || servers.len() < 2 {
-        return false;
-    }
-    let loads = loads(table, service, servers, traffic);
-    let total: f64 = loads.values().sum();
-    let capacity: f64 = servers.iter().map(|server| server.capacity).sum();
-    let excess = |server: &&Server| loads[&server.id] - total * server.capacity / capacity;
-    let by_excess = |a: &&Server, b: &&Server| excess(a).total_cmp(&excess(b));
-    let (Some(most), Some(least)) =
-        (servers.iter().max_by(by_excess), servers.iter().min_by(by_excess))
-    else {
-        return false;
-    };
-    let fair = total * most.capacity / capacity;
-    let wanted = excess(&most).min(-excess(&least));
-    if loads[&most.id] < fair * CROWDED || wanted < LEAST_MOVE {
-        return false;
+    let mut changed = false;
+    // What a server gives up shows in its pressure only once it has moved.
+    let moving = table.spans(service).filter(|(range, _)| range.earlier != 0);
+    let giving: BTreeSet<HolderId> = moving.map(|(range, _)| range.earlier).collect();
+    loop {
+        let moving = table.spans(service).filter(|(range, _)| range.earlier != 0).count();
+        if moving >= MOVES * servers.len() || servers.len() < 2 {
+            return changed;
+        }
+        let loads = loads(table, service, servers, traffic);
+        let shift = welcome(table, service, servers, &loads);
+        let Some(shift) = shift.or_else(|| relieve(servers, &loads, &giving)) else {
+            return changed;
+        };
+        if !apply(table, service, &shift, traffic) {
+            return changed;
+        }
+        changed = true;
     }
-    let settled = table.spans(service).filter(|(range, _)| range.holder == most.id);
+}
+
+/// Moves a part; whether there was one of the wanted load.
+fn apply(table: &mut Table, service: &str, shift: &Shift, traffic: &Traffic) -> bool {
+    let settled = table.spans(service).filter(|(range, _)| range.holder == shift.from);
     let settled = settled.filter(|(range, _)| range.earlier == 0);
     let parts = settled.filter_map(|(range, last)| {
-        let (first, last) = traffic.densest(range.first, last, wanted)?;
+        let (first, last) = traffic.densest(range.first, last, shift.load)?;
         Some((traffic.load(first, last), first, last))
     });
     let Some((_, first, last)) = parts.max_by(|a, b| a.0.total_cmp(&b.0)) else { return false };
-    let (from, to, version) = (most.id, least.id, table.version);
+    let version = table.version;
     table.cut(service, first, last);
     for range in table.services.get_mut(service).into_iter().flatten() {
-        if (first..=last).contains(&range.first) && range.holder == from {
-            *range = Range { first: range.first, holder: to, fence: version, earlier: from };
+        if (first..=last).contains(&range.first) && range.holder == shift.from {
+            let (holder, earlier) = (shift.to, shift.from);
+            *range = Range { first: range.first, holder, fence: version, earlier };
         }
     }
     true
 }
+
+/// A newcomer without keys gets some of the most loaded server's.
+fn welcome(
+    table: &Table,
+    service: &str,
+    servers: &[Server],
+    loads: &BTreeMap<HolderId, f64>,
+) -> Option<Shift> {
+    let holds = |id: HolderId| table.spans(service).any(|(range, _)| range.holder == id);
+    let newcomer = servers.iter().find(|server| !holds(server.id))?;
+    let (from, most) = loads.iter().max_by(|a, b| a.1.total_cmp(b.1))?;
+    let even = loads.values().sum::<f64>() / servers.len() as f64;
+    let load = (even * FIRST_PART).min(*most);
+    (*from != newcomer.id).then_some(Shift { from: *from, to: newcomer.id, load })
+}
+
+/// A server with few free slots gives some load to the one with the most. Pressures are scaled to
+/// the loads by the table, as moves that are under way don't show in what servers report.
+fn relieve(
+    servers: &[Server],
+    loads: &BTreeMap<HolderId, f64>,
+    giving: &BTreeSet<HolderId>,
+) -> Option<Shift> {
+    let costs: Vec<f64> = servers.iter().filter_map(Server::cost).collect();
+    let usual = costs.iter().sum::<f64>() / costs.len().max(1) as f64;
+    let cost = |server: &Server| server.cost().unwrap_or(usual);
+    let pressure = |server: &Server| cost(server) * loads[&server.id];
+    let by_pressure = |a: &&Server, b: &&Server| pressure(a).total_cmp(&pressure(b));
+    let most = servers.iter().filter(|server| !giving.contains(&server.id)).max_by(by_pressure)?;
+    let least = servers.iter().min_by(by_pressure)?;
+    let relief = pressure(most) - pressure(least);
+    if most.pressure < PRESSED || pressure(most) < PRESSED || relief < RELIEF {
+        return None;
+    }
+    let level = relief / (cost(most) + cost(least));
+    Some(Shift { from: most.id, to: least.id, load: level * STEP })
+}
+
+impl Server {
+    /// Pressure that one request a second makes; nothing if too few were seen.
+    fn cost(&self) -> Option<f64> {
+        (self.rate >= LEAST_RATE).then(|| (self.pressure / self.rate).max(LEAST_COST))
+    }
+}
+
+/// Requests a second from which a server's cost can be told.
+const LEAST_RATE: f64 = 4.0;
+/// Least pressure of one request a second.
+const LEAST_COST: f64 = 1e-4;
--- a/crates/ownership/src/traffic.rs
+++ b/crates/ownership/src/traffic.rs
@@ -7,6 +7,8 @@
 pub struct Sample {
     /// Requests a second.
     pub rate: f64,
+    /// Slots in use, as a part of all; above 1 if requests wait.
+    pub pressure: f64,
     /// Positions of some of them, in order.
     pub positions: Vec<Position>,
 }
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -57,6 +57,8 @@
   ended @3 :List(UInt64);
   rateMilli @4 :UInt32;
   positions @5 :List(UInt16);
+  # Slots in use at the sender's server, in thousandths of all; more if requests wait.
+  pressureMilli @6 :UInt32;
 }
 
 struct RangeRelease { by @0 :UInt64; first @1 :UInt16; fence @2 :UInt64; handover @3 :Text; }
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -3162,11 +3162,15 @@
         pub fn has_positions(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_pressure_milli(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3288,6 +3292,14 @@
         pub fn has_positions(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_pressure_milli(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_pressure_milli(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3299,66 +3311,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 139] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(206, 73, 117, 5, 114, 245, 120, 140),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(120, 144, 230, 164, 210, 241, 197, 179),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 72, 101, 97),
             ::capnp::word(114, 116, 98, 101, 97, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 116, 85, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3423,6 +3442,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 101, 115, 115, 117, 114, 101),
+            ::capnp::word(77, 105, 108, 108, 105, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3432,6 +3460,7 @@
                 3 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::primitive_list::Owned<u16> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3445,9 +3474,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,4,2,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,5,6,4,2,0,1];
         pub(crate) const TYPE_ID: u64 = 0x8c78_f572_0575_49ce;
     }
 }
--- a/crates/wire/src/signal.rs
+++ b/crates/wire/src/signal.rs
@@ -133,6 +133,7 @@
     out.set_sent_us(heartbeat.sent.as_micros() as u64);
     out.set_word_age_ms(age(heartbeat.word_age));
     out.set_rate_milli((heartbeat.sample.rate * MILLI) as u32);
+    out.set_pressure_milli((heartbeat.sample.pressure * MILLI) as u32);
     let mut releases = out.reborrow().init_releases(heartbeat.releases.len() as u32);
     for (at, release) in heartbeat.releases.iter().enumerate() {
         let mut entry = releases.reborrow().get(at as u32);
@@ -159,6 +160,7 @@
         ended: reader.get_ended()?.iter().collect(),
         sample: Sample {
             rate: f64::from(reader.get_rate_milli()) / MILLI,
+            pressure: f64::from(reader.get_pressure_milli()) / MILLI,
             positions: reader.get_positions()?.iter().collect(),
         },
     })
