--- a/crates/attempt/src/kind.rs
+++ b/crates/attempt/src/kind.rs
@@ -117,6 +117,8 @@
     AnswerGone = 24, 409, Yes, Correct, "answer-gone";
     /// The connection to the other daemon was lost or went silent after the request was sent.
     LinkLost = 25, 502, Unknown, Check, "link-lost";
+    /// The upstream would take longer than another one is expected to.
+    Slow = 26, 503, No, Retry, "slow";
 }
 
 impl Kind {
@@ -140,6 +142,7 @@
                 | Kind::NoUpstream
                 | Kind::Draining
                 | Kind::QueueFull
+                | Kind::Slow
                 | Kind::Shed
                 | Kind::Unreachable
                 | Kind::Broken
--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod budget;
+mod forecast;
 mod idempotency;
 mod kind;
 mod percentile;
@@ -10,6 +11,7 @@
 pub use crate::{
     balance::{Candidate, Choice, Score},
     budget::Budget,
+    forecast::{Forecast, Prospect, RouteId, pick_soonest},
     idempotency::{Entry, Recorded, Records, created_at},
     kind::{Advice, Kind, Ran},
     percentile::Percentile,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -2,14 +2,12 @@
 
 use bytes::Bytes;
 use cactushold_attempt::Kind;
+pub use cactushold_attempt::RouteId;
 use cactushold_lease::Time;
 use hyper::{HeaderMap, Method};
 
 use crate::upstream::Stream;
 
-/// Tells routes apart, for measurements of their runs.
-pub type RouteId = u64;
-
 /// Prefix of headers that only daemons set.
 pub const INTERNAL_PREFIX: &str = "cactushold-";
 
@@ -48,6 +46,8 @@
     pub route: RouteId,
     /// Service of the instance where it began.
     pub origin: String,
+    /// Time that it is expected to take at another upstream; nothing if there is none.
+    pub elsewhere: Option<Time>,
     /// Servers that it may be sent to.
     pub max_attempts: u32,
 }
@@ -107,5 +107,14 @@
     pub rest: Option<Rest>,
 }
 
+/// What an upstream's daemon expects of a request that arrives now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Outlook {
+    /// Time until it runs.
+    pub wait: Time,
+    /// Time of its run.
+    pub run: Time,
+}
+
 /// How an attempt ended.
 pub type Answer = Result<Reply, Refusal>;
--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -107,6 +107,7 @@
             table.members.values().map(|member| member.address).collect();
         self.links.retain(|address| addresses.contains(address));
         self.shared.scores().retain(|id, _| table.members.contains_key(id));
+        self.shared.forecasts().retain(|id, _| table.members.contains_key(id));
         self.give_up_leading_if_replaced();
         self.publish(now);
         self.news.notify_one();
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -6,6 +6,7 @@
 use cactushold_attempt::{Kind, Recorded as State, created_at};
 use cactushold_lease::{Fence, SliceId, Time};
 use cactushold_placement::hash_key;
+use cactushold_platform::http::load;
 
 use crate::clock;
 use crate::exchange::{Answer, Refusal, Reply, Request};
@@ -22,6 +23,7 @@
 /// Runs a request at the upstream, or tells truly that it did not run.
 pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
     check_place(shared, request)?;
+    check_outlook(shared, request)?;
     match &request.idempotency_key {
         None => run(shared, upstream, request).await,
         Some(key) => run_once(shared, upstream, request, key).await,
@@ -62,6 +64,22 @@
     }
 }
 
+/// Whether another upstream would clearly be quicker: what is known here is newer than what the
+/// chooser knew.
+fn check_outlook(shared: &Shared, request: &Request) -> Result<(), Refusal> {
+    let Some(elsewhere) = request.elsewhere else { return Ok(()) };
+    let outlook = shared.guard().outlook(request.route, clock::now());
+    let expected = outlook.wait + outlook.run;
+    if expected <= elsewhere.mul_f64(CLEARLY) + WAY {
+        return Ok(());
+    }
+    Err(Refusal::new(Kind::Slow).with_retry(outlook.wait))
+}
+
+/// How many times longer than elsewhere a request may take before it is sent back.
+const CLEARLY: f64 = 1.5;
+/// Time that the way to another upstream costs.
+const WAY: Duration = Duration::from_millis(15);
 /// Part of the time to drain in which a leaving server gets work for keys.
 const PART_OF_DRAIN: f64 = 0.6;
 
@@ -102,9 +120,11 @@
     let server = view.server.as_deref();
     let answer = upstream.send(request, server, slice.zip(fence), expires, permit).await;
     match &answer {
-        Ok(_) => {
-            let took = clock::now().saturating_sub(started);
-            shared.guard().note_run(request.route, took);
+        Ok(reply) => {
+            let now = clock::now();
+            let slowness = load(&reply.headers).map(|load| load.slowness);
+            let took = now.saturating_sub(started);
+            shared.guard().note_run(request.route, took, slowness, now);
         }
         Err(refusal) if refusal.kind == Kind::Unreachable => {
             shared.commands.send(Command::UpstreamRefused).ok();
--- a/crates/daemon/src/guard/table.rs
+++ b/crates/daemon/src/guard/table.rs
@@ -12,7 +12,7 @@
 use hyper::HeaderMap;
 use tokio::sync::oneshot;
 
-use crate::exchange::{Refusal, Request, RouteId};
+use crate::exchange::{Outlook, Refusal, Request, RouteId};
 use crate::guard::estimate::Estimates;
 use crate::guard::sampler::{Pressure, Sampler};
 
@@ -123,14 +123,14 @@
         self.pressure.note(used / f64::from(load.limit.max(1)), now);
     }
 
-    /// Notes how long a run took.
-    pub fn note_run(&mut self, route: RouteId, took: Time) {
-        self.estimates.note(route, took);
+    /// Notes how long a run took, and how slow the upstream said to be when it ended.
+    pub fn note_run(&mut self, route: RouteId, took: Time, slowness: Option<u32>, now: Time) {
+        self.estimates.note(route, took, slowness, now);
     }
 
-    /// Expected time of a request of a route that arrives now.
-    pub fn expected(&self, route: RouteId, now: Time) -> Time {
-        self.gate.load(now).wait + self.estimates.of(route)
+    /// What a request of a route that arrives now may expect.
+    pub fn outlook(&self, route: RouteId, now: Time) -> Outlook {
+        Outlook { wait: self.gate.load(now).wait, run: self.estimates.of(route, now) }
     }
 
     /// Takes up the limits of the upstream's service.
@@ -150,7 +150,7 @@
             rank: request.rank,
             goal: request.goal,
             deadline: request.deadline,
-            work: self.estimates.of(request.route),
+            work: self.estimates.of(request.route, now),
         };
         self.note_pressure(now);
         let load = self.gate.load(now);
--- a/crates/daemon/src/ingress/admit.rs
+++ b/crates/daemon/src/ingress/admit.rs
@@ -77,6 +77,7 @@
         arrived: now,
         route: 0,
         origin: String::new(),
+        elsewhere: None,
         max_attempts: u32::MAX,
     })
 }
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -1,5 +1,6 @@
 //! Attempts of one request: where to, when again, when two at a time.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use cactushold_lease::{Incarnation, Time};
 use futures::stream::{FuturesUnordered, StreamExt};
 
-use crate::exchange::{Answer, Refusal, Request};
+use crate::exchange::{Answer, Outlook, Refusal, Request};
 use crate::ingress::targets::Targets;
 use crate::worker::Worker;
 use crate::{clock, guard, metric, peer};
@@ -73,7 +74,7 @@
     worker.budget(&request.service).earn();
     let mut plan = Plan::new(worker, &request);
     let mut running = FuturesUnordered::new();
-    running.push(attempt(worker, &request, plan.target()?));
+    running.push(attempt(worker, &request, plan.choose()?));
     loop {
         let hedge = plan.hedge_delay(running.len());
         tokio::select! {
@@ -85,7 +86,7 @@
                         if !pause.is_zero() {
                             tokio::time::sleep(pause).await;
                         }
-                        running.push(attempt(worker, &request, plan.target()?));
+                        running.push(attempt(worker, &request, plan.choose()?));
                     }
                 }
             }
@@ -93,7 +94,7 @@
                 plan.hedged = true;
                 if worker.budget(&request.service).spend() {
                     metrics::counter!(metric::HEDGES).increment(1);
-                    running.push(attempt(worker, &request, plan.target()?));
+                    running.push(attempt(worker, &request, plan.choose()?));
                 }
             }
             () = tokio::time::sleep_until(clock::instant(request.deadline)) => {
@@ -132,6 +133,17 @@
         Plan { worker, request, targets, failures: 0, sent: 0, hedged: false, last }
     }
 
+    /// The next target, and how long the request would take at another one.
+    fn choose(&mut self) -> Result<(Incarnation, Option<Time>), Refusal> {
+        let target = self.target()?;
+        let shared = &self.worker.shared;
+        let elsewhere = match shared.is_told() {
+            true => self.targets.elsewhere(shared, &shared.view(), self.request, clock::now()),
+            false => None,
+        };
+        Ok((target, elsewhere))
+    }
+
     /// The next target; holders are looked up anew after each round.
     fn target(&mut self) -> Result<Incarnation, Refusal> {
         let shared = &self.worker.shared;
@@ -140,8 +152,7 @@
             self.targets = Targets::of(shared, &view, self.request);
         }
         let mut random = self.worker.random.borrow_mut();
-        let service = &self.request.service;
-        let target = self.targets.next(shared, &view, service, clock::now(), &mut random);
+        let target = self.targets.next(shared, &view, self.request, clock::now(), &mut random);
         target.ok_or_else(|| self.last.clone())
     }
 
@@ -244,28 +255,74 @@
     }
 }
 
-async fn attempt(worker: &Rc<Worker>, request: &Request, target: Incarnation) -> Outcome {
+async fn attempt(
+    worker: &Rc<Worker>,
+    request: &Request,
+    (target, elsewhere): (Incarnation, Option<Time>),
+) -> Outcome {
     let tally = Tally::start(worker, target);
-    let answer = send(worker, request, target).await;
+    worker.shared.forecasts().entry(target).or_default().sent();
+    let (answer, outlook) = send(worker, request, target, elsewhere).await;
+    note_outlook(worker, request, target, outlook, &answer);
     let failed = answer.as_ref().err().is_some_and(|refusal| refusal.kind != Kind::NotOwner);
     Outcome { target, answer, took: tally.end(failed) }
 }
 
-async fn send(worker: &Rc<Worker>, request: &Request, target: Incarnation) -> Answer {
+fn note_outlook(
+    worker: &Worker,
+    request: &Request,
+    target: Incarnation,
+    outlook: Option<Outlook>,
+    answer: &Answer,
+) {
+    let now = clock::now();
+    let mut forecasts = worker.shared.forecasts();
+    let forecast = forecasts.entry(target).or_default();
+    match outlook {
+        Some(Outlook { wait, run }) => forecast.note(request.route, wait, run, now),
+        None if answer.is_err() => forecast.failed(now),
+        None => {}
+    }
+}
+
+/// Sends one attempt; also tells what the next one may expect there, if that is known.
+async fn send(
+    worker: &Rc<Worker>,
+    request: &Request,
+    target: Incarnation,
+    elsewhere: Option<Time>,
+) -> (Answer, Option<Outlook>) {
     let shared = &worker.shared;
     let view = shared.view();
     if target == view.id {
-        return guard::serve(shared, &worker.upstream, request).await;
+        let request = Request { elsewhere, ..request.clone() };
+        let answer = guard::serve(shared, &worker.upstream, &request).await;
+        let outlook = shared.guard().outlook(request.route, clock::now());
+        return (answer, Some(outlook));
     }
     let member = view.table.members.get(&target);
-    let address = member.map(|member| member.peer.address);
-    let address = address.ok_or_else(|| Refusal::new(Kind::Unreachable))?;
+    let Some(address) = member.map(|member| member.peer.address) else {
+        return (Err(Refusal::new(Kind::Unreachable)), None);
+    };
+    match forward(worker, request, target, address, elsewhere).await {
+        Ok((answer, outlook)) => (answer, Some(outlook)),
+        Err(refusal) => (Err(refusal), None),
+    }
+}
+
+async fn forward(
+    worker: &Rc<Worker>,
+    request: &Request,
+    target: Incarnation,
+    address: SocketAddr,
+    elsewhere: Option<Time>,
+) -> Result<(Answer, Outlook), Refusal> {
     let link = worker.links.get(address).await;
     let link = link.map_err(|error| {
         Refusal::new(Kind::Unreachable).with_detail(format!("daemon {target}: {error}"))
     })?;
     let mut call = link.peer.forward_request();
-    peer::write_request(call.get().init_request(), request, clock::now());
+    peer::write_request(call.get().init_request(), request, elsewhere, clock::now());
     let open = link.start();
     let lost = |error: capnp::Error| Refusal::sent(Kind::LinkLost).with_detail(error.to_string());
     let broken = |error: capnp::Error| Refusal::sent(Kind::Broken).with_detail(error.to_string());
@@ -276,5 +333,6 @@
     open.answered();
     let results = results.get().map_err(broken)?;
     let answer = results.get_answer().map_err(broken)?;
-    peer::read_answer(answer, request.attempt).map_err(broken)?
+    let outlook = peer::read_outlook(answer);
+    Ok((peer::read_answer(answer, request.attempt).map_err(broken)?, outlook))
 }
--- a/crates/daemon/src/ingress/route.rs
+++ b/crates/daemon/src/ingress/route.rs
@@ -61,6 +61,7 @@
         arrived: now,
         route: route_id(route),
         origin: worker.shared.settings.instance.service.clone(),
+        elsewhere: None,
         max_attempts: route.max_attempts,
     };
     let host = head.headers.get(HOST).cloned();
--- a/crates/daemon/src/ingress/targets.rs
+++ b/crates/daemon/src/ingress/targets.rs
@@ -1,11 +1,14 @@
 //! Which daemons an attempt may go to.
 
-use cactushold_attempt::{Candidate, Choice, Score};
+use cactushold_attempt::{Candidate, Choice, Prospect, Score, pick_soonest};
 use cactushold_lease::{Incarnation, Slice, SliceId, Time};
 
 use crate::exchange::Request;
 use crate::shared::{Shared, View};
 
+/// Upstreams that may send a request back because another one is quicker.
+const MOST_SENT_BACK: usize = 2;
+
 /// Where a request may go next.
 pub struct Targets {
     slice: Option<SliceId>,
@@ -43,7 +46,7 @@
         &mut self,
         shared: &Shared,
         view: &View,
-        service: &str,
+        request: &Request,
         now: Time,
         random: &mut fastrand::Rng,
     ) -> Option<Incarnation> {
@@ -52,7 +55,10 @@
             self.turn += 1;
             return owner;
         }
-        let target = self.pick(shared, view, service, now, random)?;
+        let target = match shared.is_told() {
+            true => self.pick_soonest(shared, view, request, now, random)?,
+            false => self.pick(shared, view, &request.service, now, random)?,
+        };
         self.tried.push(target);
         Some(target)
     }
@@ -83,6 +89,60 @@
         }
     }
 
+    /// Whether another upstream than the one picked last could run the request.
+    pub fn elsewhere(
+        &self,
+        shared: &Shared,
+        view: &View,
+        request: &Request,
+        now: Time,
+    ) -> Option<Time> {
+        if self.slice.is_some() || self.tried.len() >= MOST_SENT_BACK {
+            return None;
+        }
+        let forecasts = shared.forecasts();
+        let others = self.serving(view, &request.service).filter(|id| !self.tried.contains(id));
+        let expected = |id| forecasts.get(&id).map(|known| known.expected(request.route, now));
+        others.filter_map(expected).min().filter(|expected| !expected.is_zero())
+    }
+
+    fn serving<'a>(
+        &self,
+        view: &'a View,
+        service: &'a str,
+    ) -> impl Iterator<Item = Incarnation> + 'a {
+        let members = view.table.members.iter();
+        let fit =
+            members.filter(move |(id, member)| member.peer.service == service && view.takes_work(**id));
+        fit.map(|(id, _)| *id)
+    }
+
+    /// The upstream where the request is expected to end first.
+    fn pick_soonest(
+        &self,
+        shared: &Shared,
+        view: &View,
+        request: &Request,
+        now: Time,
+        random: &mut fastrand::Rng,
+    ) -> Option<Incarnation> {
+        let mut ids: Vec<Incarnation> = self.serving(view, &request.service).collect();
+        if ids.iter().any(|id| !self.tried.contains(id)) {
+            ids.retain(|id| !self.tried.contains(id));
+        }
+        let zone = &shared.settings.instance.zone;
+        let forecasts = shared.forecasts();
+        let prospects: Vec<Prospect> = ids
+            .iter()
+            .map(|id| Prospect {
+                expected: forecasts.get(id).map_or(Time::ZERO, |f| f.expected(request.route, now)),
+                is_near: view.table.members.get(id).is_some_and(|m| m.peer.zone == *zone),
+            })
+            .collect();
+        let goal = request.goal.saturating_sub(request.arrived);
+        pick_soonest(&prospects, goal, random).map(|at| ids[at])
+    }
+
     fn pick(
         &self,
         shared: &Shared,
@@ -91,10 +151,7 @@
         now: Time,
         random: &mut fastrand::Rng,
     ) -> Option<Incarnation> {
-        let members = view.table.members.iter();
-        let serving =
-            members.filter(|(id, member)| member.peer.service == service && view.takes_work(**id));
-        let mut ids: Vec<Incarnation> = serving.map(|(id, _)| *id).collect();
+        let mut ids: Vec<Incarnation> = self.serving(view, service).collect();
         let untried: Vec<Incarnation> =
             ids.iter().copied().filter(|id| !self.tried.contains(id)).collect();
         if !untried.is_empty() {
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -8,13 +8,18 @@
 use cactushold_wire::schema::{answer, header, request};
 use hyper::{HeaderMap, Method};
 
-use crate::exchange::{Answer, Refusal, Reply, Request, Rest};
+use crate::exchange::{Answer, Outlook, Refusal, Reply, Request, Rest};
 use crate::peer;
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
 /// Writes a request. The deadline travels as the time that is left.
-pub fn write_request(mut builder: request::Builder<'_>, request: &Request, now: Time) {
+pub fn write_request(
+    mut builder: request::Builder<'_>,
+    request: &Request,
+    elsewhere: Option<Time>,
+    now: Time,
+) {
     let left = request.deadline.saturating_sub(now).as_millis();
     builder.set_attempt(request.attempt);
     builder.set_workspace(&request.workspace);
@@ -31,6 +36,7 @@
     builder.set_rank(request.rank);
     builder.set_route(request.route);
     builder.set_origin(&request.origin);
+    builder.set_elsewhere_us(elsewhere.map_or(0, micros));
     if let Some(key) = &request.idempotency_key {
         builder.set_idempotency_key(key.as_bytes());
     }
@@ -64,15 +70,28 @@
         arrived: now,
         route: reader.get_route(),
         origin: reader.get_origin()?.to_str()?.to_owned(),
+        elsewhere: Some(reader.get_elsewhere_us())
+            .filter(|us| *us > 0)
+            .map(|us| Duration::from_micros(us.into())),
         // Counted where the request came in.
         max_attempts: 1,
     })
 }
 
-/// Writes an answer to the attempt.
-pub fn write_answer(mut builder: answer::Builder<'_>, attempt: u64, answer: Answer, load: u32) {
+fn micros(time: Time) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
+
+/// Writes an answer to the attempt, and the outlook of the next one.
+pub fn write_answer(
+    mut builder: answer::Builder<'_>,
+    attempt: u64,
+    answer: Answer,
+    outlook: Outlook,
+) {
     builder.set_attempt(attempt);
-    builder.set_in_flight(load);
+    builder.set_wait_us(micros(outlook.wait));
+    builder.set_run_us(micros(outlook.run));
     match answer {
         Err(refusal) => {
             let mut refused = builder.init_refused();
@@ -96,6 +115,14 @@
     }
 }
 
+/// Reads the outlook of the next attempt.
+pub fn read_outlook(reader: answer::Reader<'_>) -> Outlook {
+    Outlook {
+        wait: Duration::from_micros(reader.get_wait_us().into()),
+        run: Duration::from_micros(reader.get_run_us().into()),
+    }
+}
+
 /// Reads the answer to `attempt`; an answer to another one counts as malformed.
 pub fn read_answer(reader: answer::Reader<'_>, attempt: u64) -> Result<Answer> {
     if reader.get_attempt() != attempt {
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -5,7 +5,7 @@
 mod server;
 
 pub use self::{
-    convert::{read_answer, write_request},
+    convert::{read_answer, read_outlook, write_request},
     link::Links,
     server::{owned, serve_body, serve_peers},
 };
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -93,14 +93,9 @@
     ) -> Result<(), capnp::Error> {
         let request = convert::read_request(params.get()?.get_request()?, clock::now())?;
         let answer = guard::serve(&self.shared, &self.upstream, &request).await;
-        let now = clock::now();
-        let (load, expected) = {
-            let guard = self.shared.guard();
-            (guard.load(now), guard.expected(request.route, now))
-        };
-        let mut out = results.get().init_answer();
-        out.set_expected_us(u32::try_from(expected.as_micros()).unwrap_or(u32::MAX));
-        convert::write_answer(out, request.attempt, answer, load.running + load.waiting as u32);
+        let outlook = self.shared.guard().outlook(request.route, clock::now());
+        let out = results.get().init_answer();
+        convert::write_answer(out, request.attempt, answer, outlook);
         Ok(())
     }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,6 +1,6 @@
 //! Tables shared by all workers.
 //!
-//! Lock order: `view`, `guard`, `quota`, `scores`, `hints`. No thread holds two of them at a time
+//! Lock order: `view`, `guard`, `quota`, `scores`, `forecasts`, `hints`. No thread holds two of them at a time
 //! today, and none is held across an await.
 
 use std::collections::{BTreeMap, HashMap};
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
-use cactushold_attempt::Score;
+use cactushold_attempt::{Forecast, Score};
 use cactushold_config::{Config, Router, Settings};
 use cactushold_lease::{Fence, Incarnation, SliceId, Table, TableVersion, Time};
 use cactushold_platform::Bounds;
@@ -128,6 +128,7 @@
     guard: Mutex<Guard>,
     quota: Mutex<Ledger>,
     scores: Mutex<HashMap<Incarnation, Score>>,
+    forecasts: Mutex<HashMap<Incarnation, Forecast>>,
     hints: Mutex<BTreeMap<SliceId, Incarnation>>,
     attempts: AtomicU64,
     leaving: AtomicBool,
@@ -161,6 +162,7 @@
             guard: Mutex::new(guard),
             quota: Mutex::default(),
             scores: Mutex::default(),
+            forecasts: Mutex::default(),
             hints: Mutex::default(),
             attempts: AtomicU64::new(fastrand::u64(..1 << 40) << 20),
             leaving: AtomicBool::new(false),
@@ -201,6 +203,11 @@
         lock(&self.scores)
     }
 
+    /// What upstreams tell of the time that requests take there.
+    pub fn forecasts(&self) -> MutexGuard<'_, HashMap<Incarnation, Forecast>> {
+        lock(&self.forecasts)
+    }
+
     /// Holders of slices that differ from the table.
     pub fn hints(&self) -> MutexGuard<'_, BTreeMap<SliceId, Incarnation>> {
         lock(&self.hints)
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -106,6 +106,8 @@
   origin @16 :Text;
   # Tells routes apart, for measurements.
   route @17 :UInt64;
+  # Time that it is expected to take at another upstream, in microseconds; 0: at none.
+  elsewhereUs @18 :UInt32;
 }
 
 struct Answer {
@@ -117,8 +119,9 @@
     refused @3 :Refusal;
     reply @4 :Reply;
   }
-  # Time that a request arriving now is expected to take, in microseconds; 0: not known.
-  expectedUs @5 :UInt32;
+  # Time that a request of the same route would wait and run if it arrived now, in microseconds.
+  waitUs @5 :UInt32;
+  runUs @6 :UInt32;
 }
 
 struct Refusal {
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -4733,6 +4733,10 @@
         pub fn get_route(self) -> u64 {
             self.reader.get_data_field::<u64>(6)
         }
+        #[inline]
+        pub fn get_elsewhere_us(self) -> u32 {
+            self.reader.get_data_field::<u32>(11)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -4995,6 +4999,14 @@
         pub fn set_route(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(6, value);
         }
+        #[inline]
+        pub fn get_elsewhere_us(self) -> u32 {
+            self.builder.get_data_field::<u32>(11)
+        }
+        #[inline]
+        pub fn set_elsewhere_us(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(11, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5006,7 +5018,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 297] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 313] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(74, 206, 4, 248, 203, 58, 172, 192),
             ::capnp::word(13, 0, 0, 0, 1, 0, 7, 0),
@@ -5016,140 +5028,147 @@
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 101, 113),
             ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5304,6 +5323,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 108, 115, 101, 119, 104, 101, 114),
+            ::capnp::word(101, 85, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5325,6 +5353,7 @@
                 15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                18 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5338,9 +5367,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,8,9,11,15,7,12,13,3,4,5,16,6,14,17,2,10,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,8,9,11,18,15,7,12,13,3,4,5,16,6,14,17,2,10,1];
         pub(crate) const TYPE_ID: u64 = 0xc0ac_3acb_f804_ce4a;
     }
 }
@@ -5431,10 +5460,14 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_expected_us(self) -> u32 {
+        pub fn get_wait_us(self) -> u32 {
             self.reader.get_data_field::<u32>(5)
         }
         #[inline]
+        pub fn get_run_us(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(8) {
                 0 => {
@@ -5454,7 +5487,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5559,14 +5592,22 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_expected_us(self) -> u32 {
+        pub fn get_wait_us(self) -> u32 {
             self.builder.get_data_field::<u32>(5)
         }
         #[inline]
-        pub fn set_expected_us(&mut self, value: u32)  {
+        pub fn set_wait_us(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(5, value);
         }
         #[inline]
+        pub fn get_run_us(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_run_us(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(8) {
                 0 => {
@@ -5593,66 +5634,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(92, 252, 189, 124, 121, 184, 15, 247),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(120, 144, 230, 164, 210, 241, 197, 179),
             ::capnp::word(1, 0, 7, 0, 0, 0, 2, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 65, 110, 115),
             ::capnp::word(119, 101, 114, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5695,8 +5743,15 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 120, 112, 101, 99, 116, 101, 100),
-            ::capnp::word(85, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 85, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 85, 115, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5713,6 +5768,7 @@
                 3 => <crate::schema_capnp::refusal::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::schema_capnp::reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5726,9 +5782,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,1,2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2,3,4,6,5];
         pub(crate) const TYPE_ID: u64 = 0xf70f_b879_7cbd_fc5c;
     }
     pub enum Which<A0,A1> {
