Refuse under overload what can't reach its goal; say when a holder waits for its grant

Change: with a round of slots waiting, a request that can't reach its goal is refused on arrival or when that shows, with the expected wait as advice; a named holder without its grant yet says so and is waited for half of the request's time; a lost owner for part of the time to the goal; owners that the leader doesn't hear aren't asked. Tables that only name members anew wait 400 ms.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -154,6 +154,10 @@
         if self.queue.is_empty() && self.take(now) {
             return Arrival::Admitted;
         }
+        // Under overload, what can't reach its goal would wait behind all that can.
+        if self.is_overloaded() && now + wait + visit.work > visit.goal {
+            return Arrival::Refused(Refusal::Expired(wait));
+        }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
         let Visit { rank, goal, deadline, work, .. } = visit;
@@ -164,6 +168,14 @@
         }
     }
 
+    /// Whether as much waits as an upstream that tells its slots runs at a time.
+    fn is_overloaded(&self) -> bool {
+        match self.warmth {
+            Warmth::Guessed(_) => false,
+            Warmth::Told { slots, .. } => self.queue.len() >= slots as usize,
+        }
+    }
+
     /// Takes a slot, if there is one now.
     fn take(&mut self, now: Duration) -> bool {
         if self.running >= self.limit() {
@@ -195,9 +207,9 @@
         Some(waiting.ticket)
     }
 
-    /// Turns away what can't meet its deadline any more.
+    /// Turns away what can't meet its deadline any more; under overload, what can't reach its goal.
     pub fn expire(&mut self, now: Duration) -> Vec<Ticket> {
-        self.queue.expire(now)
+        self.queue.expire(now, self.is_overloaded())
     }
 
     /// A waiting request's caller has gone; false if it doesn't wait any more.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -144,12 +144,13 @@
         Some(waiting)
     }
 
-    /// Takes out everything whose deadline can't be met any more.
-    pub fn expire(&mut self, now: Duration) -> Vec<Ticket> {
+    /// Takes out everything whose deadline can't be met any more, or, `for_goals`, whose goal can't
+    /// be reached.
+    pub fn expire(&mut self, now: Duration, for_goals: bool) -> Vec<Ticket> {
         let mut expired = Vec::new();
         for line in self.lines.values_mut() {
             line.waiting.retain(|waiting| {
-                let is_late = waiting.is_hopeless(now);
+                let is_late = waiting.is_hopeless(now) || for_goals && !waiting.is_timely(now);
                 if is_late {
                     expired.push(waiting.ticket);
                 }
--- a/crates/attempt/src/kind.rs
+++ b/crates/attempt/src/kind.rs
@@ -119,6 +119,8 @@
     LinkLost = 25, 502, Unknown, Check, "link-lost";
     /// The upstream would take longer than another one is expected to.
     Slow = 26, 503, No, Retry, "slow";
+    /// The addressed daemon is to hold the key and waits until its server may.
+    NotYetOwner = 27, 503, No, Retry, "not-yet-owner";
 }
 
 impl Kind {
@@ -143,6 +145,7 @@
                 | Kind::Draining
                 | Kind::QueueFull
                 | Kind::Slow
+                | Kind::NotYetOwner
                 | Kind::Shed
                 | Kind::Unreachable
                 | Kind::Broken
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -92,7 +92,12 @@
 
 fn fence_of(view: &View, slice: Option<SliceId>, now: Time) -> Result<Option<Fence>, Refusal> {
     let Some(slice) = slice else { return Ok(None) };
-    view.fence(slice, now).map(Some).ok_or_else(|| Refusal::new(Kind::NotOwner))
+    if let Some(fence) = view.fence(slice, now) {
+        return Ok(Some(fence));
+    }
+    let is_named = view.table.slice(slice).is_some_and(|slice| slice.current.owner == view.id);
+    let kind = if is_named { Kind::NotYetOwner } else { Kind::NotOwner };
+    Err(Refusal::new(kind))
 }
 
 async fn run(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -20,9 +20,9 @@
 /// Failed tries of a request, after which a caller of a told upstream is told to come back.
 const MOST_FAILURES: u32 = 4;
 /// Part of a request's time for which a planned move is waited for.
-const MOVE_PART: f64 = 0.6;
+const MOVE_PART: f64 = 0.5;
 /// Part of the time to its goal for which another holder is waited for.
-const LOSS_PART: f64 = 0.5;
+const LOSS_PART: f64 = 0.4;
 /// Time after which callers are told to come back when a key has no owner.
 const OWNER_SOON: Duration = Duration::from_millis(300);
 /// Attempts under way at a time.
@@ -121,6 +121,8 @@
     /// Attempts that were handed to an upstream.
     sent: u32,
     hedged: bool,
+    /// Whether a holder said that it waits for its grant.
+    is_expected: bool,
     /// What is told if no attempt succeeds.
     last: Refusal,
 }
@@ -130,7 +132,16 @@
         let targets = Targets::of(&worker.shared, &worker.shared.view(), request);
         let kind = if request.key.is_some() { Kind::NoOwner } else { Kind::NoUpstream };
         let last = Refusal::new(kind).with_retry(OWNER_SOON);
-        Plan { worker, request, targets, failures: 0, sent: 0, hedged: false, last }
+        Plan {
+            worker,
+            request,
+            targets,
+            failures: 0,
+            sent: 0,
+            hedged: false,
+            is_expected: false,
+            last,
+        }
     }
 
     /// The next target, and how long the request would take at another one.
@@ -179,6 +190,7 @@
         self.failures += 1;
         self.sent += u32::from(refusal.is_sent);
         let (kind, is_sent) = (refusal.kind, refusal.is_sent);
+        self.is_expected |= kind == Kind::NotYetOwner;
         self.note(refusal);
         // As long as another attempt is under way, nothing is known for sure.
         if is_running {
@@ -195,7 +207,8 @@
 
     /// Keeps what says most. A misdirection says less than that there is no owner.
     fn note(&mut self, refusal: Refusal) {
-        let says_more = refusal.kind != Kind::NotOwner || self.last.kind == Kind::NoUpstream;
+        let is_misdirected = [Kind::NotOwner, Kind::NotYetOwner].contains(&refusal.kind);
+        let says_more = !is_misdirected || self.last.kind == Kind::NoUpstream;
         if says_more && !outweighs(self.last.kind, refusal.kind) {
             self.last = refusal;
         }
@@ -209,7 +222,7 @@
     /// way is waited for as long as the goal can be reached, other refusals for a few tries.
     fn has_waited_enough(&self, kind: Kind) -> bool {
         match kind {
-            Kind::NotOwner => clock::now() >= self.owner_wait_ends(),
+            Kind::NotOwner | Kind::NotYetOwner => clock::now() >= self.owner_wait_ends(),
             _ => self.failures >= MOST_FAILURES,
         }
     }
@@ -218,7 +231,7 @@
     /// told early when to come back.
     fn owner_wait_ends(&self) -> Time {
         let Request { goal, deadline, arrived, .. } = *self.request;
-        if self.targets.is_moving() {
+        if self.is_expected || self.targets.is_moving() {
             return arrived + (deadline.saturating_sub(arrived)).mul_f64(MOVE_PART);
         }
         arrived + (goal.saturating_sub(arrived)).mul_f64(LOSS_PART)
@@ -229,7 +242,7 @@
     fn pause(&mut self, kind: Kind, is_sent: bool) -> Step {
         let is_free = match kind {
             _ if self.worker.shared.is_told() => !is_sent,
-            Kind::NotOwner | Kind::Unreachable | Kind::Draining => true,
+            Kind::NotOwner | Kind::NotYetOwner | Kind::Unreachable | Kind::Draining => true,
             Kind::LinkLost => self.failures <= MAX_FREE_LOSSES,
             _ => false,
         };
@@ -237,7 +250,7 @@
             return self.give_up();
         }
         metric::retried(kind);
-        if kind == Kind::NotOwner && !self.targets.is_round_over() {
+        if matches!(kind, Kind::NotOwner | Kind::NotYetOwner) && !self.targets.is_round_over() {
             return Step::Again(Duration::ZERO);
         }
         let left = self.request.deadline.saturating_sub(clock::now());
@@ -264,7 +277,10 @@
     worker.shared.forecasts().entry(target).or_default().sent();
     let (answer, outlook) = send(worker, request, target, elsewhere).await;
     note_outlook(worker, request, target, outlook, &answer);
-    let failed = answer.as_ref().err().is_some_and(|refusal| refusal.kind != Kind::NotOwner);
+    let failed = answer
+        .as_ref()
+        .err()
+        .is_some_and(|refusal| !matches!(refusal.kind, Kind::NotOwner | Kind::NotYetOwner));
     Outcome { target, answer, took: tally.end(failed) }
 }
 
--- a/crates/daemon/src/ingress/targets.rs
+++ b/crates/daemon/src/ingress/targets.rs
@@ -26,7 +26,8 @@
         let hint = slice.and_then(|slice| shared.hints().get(&slice.id).copied());
         let mut owners = Vec::new();
         for owner in hint.into_iter().chain(slice.into_iter().flat_map(Slice::likely_holders)) {
-            if !owners.contains(&owner) && view.table.members.contains_key(&owner) {
+            let is_known = view.table.members.contains_key(&owner);
+            if !owners.contains(&owner) && is_known && !view.silent.contains(&owner) {
                 owners.push(owner);
             }
         }
@@ -112,8 +113,8 @@
         service: &'a str,
     ) -> impl Iterator<Item = Incarnation> + 'a {
         let members = view.table.members.iter();
-        let fit =
-            members.filter(move |(id, member)| member.peer.service == service && view.takes_work(**id));
+        let fit = members
+            .filter(move |(id, member)| member.peer.service == service && view.takes_work(**id));
         fit.map(|(id, _)| *id)
     }
 
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -22,6 +22,8 @@
 const GATHER: Duration = Duration::from_millis(1_500);
 /// Time between two moves for balance, in which their effect shows in the samples.
 const BALANCE: Duration = Duration::from_millis(500);
+/// Time between two tables that only name members anew, as when all start at once.
+const LEAST_INTERVAL: Duration = Duration::from_millis(400);
 /// Members told of in one renewal; a datagram has room for them.
 const MOST_SILENT: usize = 64;
 
@@ -40,6 +42,8 @@
     released: BTreeSet<(String, Position, u64)>,
     ended: BTreeSet<HolderId>,
     balanced: Time,
+    /// When the latest table was stored.
+    written: Time,
 }
 
 impl Leader {
@@ -57,6 +61,7 @@
             released: BTreeSet::new(),
             ended: BTreeSet::new(),
             balanced: now,
+            written: now,
         }
     }
 
@@ -142,6 +147,7 @@
 
     /// The table was stored.
     pub fn stored(&mut self, table: &Table, revision: Revision, asked: Time) {
+        self.written = asked;
         self.lessor.assure(asked);
         self.lessor.absolve();
         self.revision = Some(revision);
@@ -173,7 +179,8 @@
         let revision = self.revision.filter(|_| self.is_listed && self.lessor.is_valid(now))?;
         let mut next = table.clone();
         next.version += 1;
-        let mut changed = self.update_members(&mut next);
+        let joins = self.update_members(&mut next);
+        let mut changed = joins && now >= self.written + LEAST_INTERVAL;
         let facts = self.facts(&next, is_zone_in, now);
         let may_balance = now > self.balanced + BALANCE;
         for service in keyed {
