--- a/crates/daemon/src/fleet/publish.rs
+++ b/crates/daemon/src/fleet/publish.rs
@@ -101,6 +101,8 @@
             lender: lender.map(|(id, _)| *id),
             server: live.map(|server| server.life.server.as_str().into()),
             silent: self.silent.borrow().clone(),
+            report_due: live
+                .map_or(Time::MAX, |server| server.heard + self.shared.bounds.report_interval),
             agreed: Some(Arc::clone(&table)),
             ..View::default()
         };
--- a/crates/daemon/src/guard/sampler.rs
+++ b/crates/daemon/src/guard/sampler.rs
@@ -8,6 +8,8 @@
 
 /// For how long a request counts.
 const WINDOW: Duration = Duration::from_millis(1_200);
+/// Time constant of the pressure, a few runs long.
+const MOMENT: Duration = Duration::from_millis(700);
 /// Requests remembered at the most.
 const MOST: usize = 4_096;
 
@@ -53,7 +55,7 @@
     pub(super) fn note(&mut self, used: f64, now: Time) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
-        let weight = 1.0 - (-elapsed / WINDOW.as_secs_f64()).exp();
+        let weight = 1.0 - (-elapsed / MOMENT.as_secs_f64()).exp();
         self.mean += weight * (used - self.mean);
     }
 
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -76,6 +76,8 @@
     Err(Refusal::new(Kind::Slow).with_retry(outlook.wait))
 }
 
+/// The longest time until a grant that callers are told.
+const LONGEST_DUE: Duration = Duration::from_secs(2);
 /// How many times longer than elsewhere a request may take before it is sent back.
 const CLEARLY: f64 = 1.5;
 /// Time that the way to another upstream costs.
@@ -96,8 +98,13 @@
         return Ok(Some(fence));
     }
     let is_named = view.table.slice(slice).is_some_and(|slice| slice.current.owner == view.id);
-    let kind = if is_named { Kind::NotYetOwner } else { Kind::NotOwner };
-    Err(Refusal::new(kind))
+    match is_named {
+        true => {
+            let refusal = Refusal::new(Kind::NotYetOwner);
+            Err(refusal.with_retry(view.report_due.saturating_sub(now).min(LONGEST_DUE)))
+        }
+        false => Err(Refusal::new(Kind::NotOwner)),
+    }
 }
 
 async fn run(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -20,7 +20,7 @@
 /// Failed tries of a request, after which a caller of a told upstream is told to come back.
 const MOST_FAILURES: u32 = 4;
 /// Part of a request's time for which a planned move is waited for.
-const MOVE_PART: f64 = 0.5;
+const MOVE_PART: f64 = 0.75;
 /// Part of the time to its goal for which another holder is waited for.
 const LOSS_PART: f64 = 0.4;
 /// Time after which callers are told to come back when a key has no owner.
@@ -121,8 +121,8 @@
     /// Attempts that were handed to an upstream.
     sent: u32,
     hedged: bool,
-    /// Whether a holder said that it waits for its grant.
-    is_expected: bool,
+    /// When a holder that waits for its grant may get it.
+    grant_due: Option<Time>,
     /// What is told if no attempt succeeds.
     last: Refusal,
 }
@@ -139,7 +139,7 @@
             failures: 0,
             sent: 0,
             hedged: false,
-            is_expected: false,
+            grant_due: None,
             last,
         }
     }
@@ -190,7 +190,9 @@
         self.failures += 1;
         self.sent += u32::from(refusal.is_sent);
         let (kind, is_sent) = (refusal.kind, refusal.is_sent);
-        self.is_expected |= kind == Kind::NotYetOwner;
+        if kind == Kind::NotYetOwner {
+            self.grant_due = refusal.retry.map(|left| clock::now() + left);
+        }
         self.note(refusal);
         // As long as another attempt is under way, nothing is known for sure.
         if is_running {
@@ -222,7 +224,10 @@
     /// way is waited for as long as the goal can be reached, other refusals for a few tries.
     fn has_waited_enough(&self, kind: Kind) -> bool {
         match kind {
-            Kind::NotOwner | Kind::NotYetOwner => clock::now() >= self.owner_wait_ends(),
+            Kind::NotOwner | Kind::NotYetOwner => {
+                let now = clock::now();
+                self.grant_due.unwrap_or(now).max(now) >= self.owner_wait_ends()
+            }
             _ => self.failures >= MOST_FAILURES,
         }
     }
@@ -231,7 +236,7 @@
     /// told early when to come back.
     fn owner_wait_ends(&self) -> Time {
         let Request { goal, deadline, arrived, .. } = *self.request;
-        if self.is_expected || self.targets.is_moving() {
+        if self.grant_due.is_some() || self.targets.is_moving() {
             return arrived + (deadline.saturating_sub(arrived)).mul_f64(MOVE_PART);
         }
         arrived + (goal.saturating_sub(arrived)).mul_f64(LOSS_PART)
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -52,6 +52,8 @@
     pub server: Option<Arc<str>>,
     /// Members that the leader hasn't heard lately.
     pub silent: Vec<Incarnation>,
+    /// When the server's next report is due, at which it may be granted more keys.
+    pub report_due: Time,
     /// The table that daemons agreed on through the store, where they do.
     pub agreed: Option<Arc<cactushold_ownership::Table>>,
 }
