Spend an even part of a workspace's rate while nobody lends

Ruled out: election and store (0.3 s in all), rates really exceeded. Change: a leader that may not know earlier loans doesn't answer for single tokens; without an answer, or when the leader isn't heard, a daemon takes from its even part of rate and burst.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -55,6 +55,8 @@
     ServerLeaving = 111, "server-leaving";
     /// The process of the server beside this daemon has ended.
     ServerEnded = 112, "server-ended";
+    /// The server reported, and was told what to hold.
+    Reported = 113, "reported";
     /// A newer configuration is in force here.
     ConfigInForce = 200, "config-in-force";
     /// A newer slice table is in force here.
--- a/crates/daemon/src/fleet/reports.rs
+++ b/crates/daemon/src/fleet/reports.rs
@@ -140,6 +140,15 @@
             .borrow_mut()
             .as_mut()
             .and_then(|holder| holder.answer(keys(&report), longest, now));
+        log!(
+            debug,
+            Event::Reported,
+            seq = report.seq,
+            holds = report.holds.len(),
+            granted = grants.as_ref().map(|(grants, _)| grants.len()),
+            table = self.table.borrow().version,
+            authority_ms = self.authority_left(now).as_millis() as u64
+        );
         self.publish(now);
         let has_released =
             self.holder.borrow().as_ref().is_some_and(|holder| !holder.releases(now).is_empty());
@@ -150,6 +159,11 @@
         json(Answer { grants: rows }.write())
     }
 
+    fn authority_left(&self, now: Duration) -> Duration {
+        let holder = self.holder.borrow();
+        holder.as_ref().map_or(Duration::ZERO, |holder| holder.valid_until().saturating_sub(now))
+    }
+
     /// A server was started; the one before it, at the same address, has ended.
     fn begin_life(self: &Rc<Self>, report: &Report, now: Duration) {
         log!(info, Event::ServerStarted, server = report.server, born = report.born);
--- a/crates/daemon/src/ingress/rate.rs
+++ b/crates/daemon/src/ingress/rate.rs
@@ -31,6 +31,7 @@
     match spent {
         Spend::Granted => Ok(()),
         Spend::Refused(wait) => Err(over_rate(wait)),
+        Spend::Ask if worker.shared.is_told() => ask_lender(worker, workspace, deadline).await,
         Spend::Ask => ask(worker, workspace, deadline).await,
     }
 }
@@ -40,27 +41,55 @@
     workspace.rate > 0.0
 }
 
-async fn ask(worker: &Rc<Worker>, workspace: &str, deadline: Time) -> Result<(), Refusal> {
-    loop {
-        let token = ask_owners(worker, workspace).await;
-        let now = clock::now();
-        match token {
-            Some(Ok(wait)) if now + wait >= deadline => return Err(Refusal::new(Kind::Expired)),
-            Some(Ok(Duration::ZERO)) => return Ok(()),
-            Some(Ok(wait)) => {
+/// Asks the leader, which lends for all; without its answer, spends this daemon's even part.
+async fn ask_lender(worker: &Rc<Worker>, workspace: &str, deadline: Time) -> Result<(), Refusal> {
+    let shared = &worker.shared;
+    let view = shared.view();
+    let is_heard = view.lender.is_some_and(|lender| !view.silent.contains(&lender));
+    if is_heard && shared.quota().asks_lender(clock::now()) {
+        match ask_owners(worker, workspace).await {
+            Some(token) => return use_token(worker, workspace, token, deadline).await,
+            None => shared.quota().lender_was_silent(clock::now()),
+        }
+    }
+    let sharers = view.table.members.len();
+    let taken = shared.quota().take_part(workspace, &view.config, sharers, clock::now());
+    taken.map_err(over_rate)
+}
+
+/// Waits until the token comes in, or refuses.
+async fn use_token(
+    worker: &Rc<Worker>,
+    workspace: &str,
+    token: Token,
+    deadline: Time,
+) -> Result<(), Refusal> {
+    let now = clock::now();
+    match token {
+        Ok(wait) if now + wait >= deadline => Err(Refusal::new(Kind::Expired)),
+        Ok(wait) => {
+            if !wait.is_zero() {
                 tokio::time::sleep(wait).await;
-                return Ok(());
-            }
-            Some(Err(wait)) => {
-                worker.shared.quota().refused(workspace, wait, now);
-                return Err(over_rate(wait));
-            }
-            None if now + PAUSE >= deadline => {
-                let refusal = Refusal::new(Kind::NoOwner);
-                return Err(refusal.with_detail("the workspace's rate has no owner now"));
             }
-            None => tokio::time::sleep(PAUSE).await,
+            Ok(())
+        }
+        Err(wait) => {
+            worker.shared.quota().refused(workspace, wait, now);
+            Err(over_rate(wait))
+        }
+    }
+}
+
+async fn ask(worker: &Rc<Worker>, workspace: &str, deadline: Time) -> Result<(), Refusal> {
+    loop {
+        if let Some(token) = ask_owners(worker, workspace).await {
+            return use_token(worker, workspace, token, deadline).await;
+        }
+        if clock::now() + PAUSE >= deadline {
+            let refusal = Refusal::new(Kind::NoOwner);
+            return Err(refusal.with_detail("the workspace's rate has no owner now"));
         }
+        tokio::time::sleep(PAUSE).await;
     }
 }
 
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -252,11 +252,20 @@
             valid_until,
             config: &view.config,
             now,
+            lends_for_all: true,
         });
     }
     let slice = view.table.locate(QUOTA, hash_key(workspace.as_bytes()))?.id;
     let fence = view.fence(slice, now)?;
     let acquired = view.acquired.get(&slice).copied()?;
     let valid_until = view.valid_until;
-    Some(Owned { slice, fence, acquired, valid_until, config: &view.config, now })
+    Some(Owned {
+        slice,
+        fence,
+        acquired,
+        valid_until,
+        config: &view.config,
+        now,
+        lends_for_all: false,
+    })
 }
--- a/crates/daemon/src/quota.rs
+++ b/crates/daemon/src/quota.rs
@@ -5,7 +5,7 @@
 
 use cactushold_config::Config;
 use cactushold_lease::{Fence, Incarnation, SliceId, TableVersion, Time};
-use cactushold_quota::{ADVANCE, Bucket, Demand, Limits, Loan, Share, State, Terms};
+use cactushold_quota::{ADVANCE, Bucket, Demand, Limits, Loan, Part, Share, State, Terms};
 
 /// Weight of the latest interval in the demand that is reported.
 const SMOOTHING: f64 = 0.5;
@@ -14,6 +14,9 @@
 /// After an owner's refusal, a workspace is refused here without asking for at most this long.
 const REMEMBER_REFUSAL: Duration = Duration::from_millis(100);
 
+/// Time for which a lender that didn't answer isn't asked.
+const LENDER_PAUSE: Duration = Duration::from_millis(300);
+
 #[derive(Default)]
 struct Use {
     share: Share,
@@ -21,6 +24,8 @@
     rate: f64,
     last_request: Time,
     refused_until: Time,
+    /// What may be used without a lender.
+    part: Part,
 }
 
 /// A token and the time in which it comes in, or how long until there will be one.
@@ -52,6 +57,8 @@
     buckets: HashMap<String, (Fence, Bucket)>,
     uses: HashMap<String, Use>,
     measured_at: Time,
+    /// Until when the lender isn't asked, after it didn't answer.
+    lender_silent_until: Time,
     /// Slices that were handed over, and the table version that gave them to another holder.
     closed: HashMap<SliceId, TableVersion>,
 }
@@ -71,6 +78,31 @@
         Spend::Ask
     }
 
+    /// Whether the lender is worth asking.
+    pub fn asks_lender(&self, now: Time) -> bool {
+        now >= self.lender_silent_until
+    }
+
+    /// Notes that the lender didn't answer.
+    pub fn lender_was_silent(&mut self, now: Time) {
+        self.lender_silent_until = now + LENDER_PAUSE;
+    }
+
+    /// Takes a token of the part that this daemon, one of `sharers`, has without a lender.
+    ///
+    /// # Errors
+    /// There is none; tells when there will be one.
+    pub fn take_part(
+        &mut self,
+        workspace: &str,
+        config: &Config,
+        sharers: usize,
+        now: Time,
+    ) -> Result<(), Duration> {
+        let Some(limits) = limits(config, workspace) else { return Ok(()) };
+        self.uses.entry(workspace.to_owned()).or_default().part.take(limits, sharers, now)
+    }
+
     /// Notes that the owner had no token and when there will be one.
     pub fn refused(&mut self, workspace: &str, wait: Duration, now: Time) {
         if let Some(used) = self.uses.get_mut(workspace) {
@@ -113,6 +145,9 @@
 
     /// Takes a single token as owner of the workspace's bucket; tells the wait if there is none.
     pub fn take(&mut self, workspace: &str, owned: Owned<'_>) -> Option<Token> {
+        if owned.is_blind() {
+            return None;
+        }
         let (now, until) = (owned.now, owned.valid_until);
         Some(self.bucket(workspace, owned)?.take(now, until))
     }
@@ -180,6 +215,14 @@
     if is_planned { acquired + ADVANCE } else { acquired }
 }
 
+impl Owned<'_> {
+    /// Whether an earlier leader's loans may be in use that this one doesn't know.
+    fn is_blind(&self) -> bool {
+        let Terms { term, margin } = Terms::default();
+        self.lends_for_all && self.now < self.acquired + term + margin
+    }
+}
+
 /// Proof that a bucket is owned here.
 #[derive(Clone, Copy)]
 pub struct Owned<'a> {
@@ -195,4 +238,6 @@
     pub config: &'a Config,
     /// Present time.
     pub now: Time,
+    /// Whether the leader lends for all, and daemons have parts without it.
+    pub lends_for_all: bool,
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -5,11 +5,13 @@
 //! or a lost owner can waste tokens but never mint them.
 
 mod bucket;
+mod part;
 mod share;
 mod terms;
 
 pub use crate::{
     bucket::{ADVANCE, Bucket, Demand, Limits, State},
+    part::Part,
     share::{Loan, Share},
     terms::Terms,
 };
