--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -207,6 +207,7 @@
                 self.learn_table(next);
                 tokio::task::spawn_local(Rc::clone(self).watch_entries());
                 self.announce();
+                self.lead_began.notify_waiters();
                 Ok(())
             }
             Stored::Conflict => {
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -75,6 +75,8 @@
     news: Notify,
     /// Wakes whoever keeps the entry in the store.
     entry_changed: Notify,
+    /// Wakes long watches of the store when this daemon begins to lead.
+    lead_began: Notify,
 }
 
 impl Fleet {
@@ -104,6 +106,7 @@
             polls: RefCell::default(),
             news: Notify::new(),
             entry_changed: Notify::new(),
+            lead_began: Notify::new(),
         }
     }
 
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -66,7 +66,11 @@
             }
             Some(after) => {
                 let wait = if self.is_leading() { LEADERS_WATCH } else { WATCH };
-                let changes = self.platform.watch(followed.kind, after, wait).await?;
+                let changes = tokio::select! {
+                    changes = self.platform.watch(followed.kind, after, wait) => changes?,
+                    // From now on the others rely on this daemon's watches.
+                    () = self.lead_began.notified() => return Ok(Read::Changed(Vec::new())),
+                };
                 followed.after = Some(changes.revision.max(after));
                 Ok(Read::Changed(changes.changes))
             }
--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -50,7 +50,7 @@
             "header_timeout": "3s", "idle_timeout": "15s",
         },
         "tenants": [
-            { "name": "club", "api_keys": ["key-of-club"], "rate_per_s": 1_000, "burst": 1_000 },
+            { "name": "club", "api_keys": ["key-of-club"], "rate_per_s": 0, "burst": 0 },
             { "name": "tiny", "api_keys": ["key-of-tiny"], "rate_per_s": 5, "burst": 5 },
         ],
         "listeners": [{
--- a/crates/daemon/tests/platform/configuration.rs
+++ b/crates/daemon/tests/platform/configuration.rs
@@ -6,6 +6,8 @@
 
 use crate::cases::{RULING, ask, config, deployment, until};
 
+/// Time after a disturbance of the store from which bounds hold again.
+const STABLE: Duration = Duration::from_secs(3);
 /// Time within which a change has to be in force.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
@@ -67,3 +69,20 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_was_silent_is_heard_again_soon() {
+    let environment = deployment().await;
+    environment.platform_faults(json!({ "mute": true })).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    // Whatever was asked meanwhile is never answered, on connections that stay open.
+    environment.platform_faults(json!({})).await;
+    let mut next = config(2);
+    next["tenants"][0]["api_keys"] = json!([]);
+    environment.store("config", "main", &next).await;
+    tokio::time::sleep(STABLE + IN_FORCE).await;
+    for entry in 0..5 {
+        let answer = ask(&environment, entry, RULING).await.expect("an answer");
+        assert_eq!(answer.status, 401, "daemon {entry}");
+    }
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Sessions with real processes on the platform's protocols: a store, servers that report their
 //! liveness and are granted keys in the answers, operators who write objects.
 
+mod budgets;
 mod cases;
 mod configuration;
 mod ownership;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -34,6 +34,8 @@
     pub slow_ms: u64,
     /// This many more writes take effect without their answer being sent.
     pub lose_answers: u32,
+    /// Calls get no answer, also not when this is over.
+    pub mute: bool,
     /// Drops the history, so that watches from before have to list anew.
     pub forget: bool,
 }
@@ -177,6 +179,9 @@
             (refused, Duration::from_millis(state.faults.slow_ms))
         });
         tokio::time::sleep(pause).await;
+        if self.with(|state| state.faults.mute) {
+            std::future::pending::<()>().await;
+        }
         refused.map(|status| status.into_response())
     }
 
@@ -360,6 +365,9 @@
         let Some((events, revision)) = store.events(&kind, after) else {
             return StatusCode::GONE.into_response();
         };
+        if store.with(|state| state.faults.mute) {
+            std::future::pending::<()>().await;
+        }
         let is_empty = events.is_empty();
         let answer = || Json(json!({ "events": events, "current_rev": revision })).into_response();
         if !is_empty {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -68,6 +68,10 @@
     past: Vec<Held>,
     freed: Vec<(u16, u16, String)>,
     running: usize,
+    /// Requests that arrived, refused ones included.
+    arrivals: usize,
+    /// Whether every request is refused unrun.
+    sheds: bool,
     run: Duration,
     runs: Vec<Run>,
 }
@@ -125,6 +129,8 @@
             past: Vec::new(),
             freed: Vec::new(),
             running: 0,
+            arrivals: 0,
+            sheds: false,
             run,
             runs: Vec::new(),
         };
@@ -148,6 +154,16 @@
         self.shared.with(|state| state.is_draining = true);
     }
 
+    /// Has the server refuse every request unrun, or stop doing so.
+    pub fn shed(&self, sheds: bool) {
+        self.shared.with(|state| state.sheds = sheds);
+    }
+
+    /// Requests that arrived so far, refused ones included.
+    pub fn arrivals(&self) -> usize {
+        self.shared.with(|state| state.arrivals)
+    }
+
     /// Requests run so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.with(|state| state.runs.clone())
@@ -275,12 +291,13 @@
     let attempt = text("attempt-id").unwrap_or_default();
     let position = text("shard-key").and_then(|text| text.parse().ok());
     let refused = shared.with(|state| {
+        state.arrivals += 1;
         let is_other = text("expect-instance").is_some_and(|id| id != state.id);
         let is_unheld = position.is_some_and(|position| !state.holds(position, Instant::now()));
         if is_other || is_unheld {
             return Some(StatusCode::MISDIRECTED_REQUEST);
         }
-        if state.running >= SLOTS * 2 {
+        if state.sheds || state.running >= SLOTS * 2 {
             return Some(StatusCode::SERVICE_UNAVAILABLE);
         }
         state.running += 1;
