--- /dev/null
+++ b/crates/ownership/tests/world/leading.rs
@@ -0,0 +1,148 @@
+//! What daemons do with the store: announce lives, take the lead, write the table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushold_ownership::{Holder, Leader, Table, Time};
+
+use super::parts::{Event, leader_of, member};
+use super::store::Outcome;
+use super::{Deviation, SERVICE, SILENCE, World};
+
+impl World {
+    pub(super) fn notice_end(&mut self, index: usize) {
+        let is_dead = !self.servers[index].is_alive;
+        let daemon = &mut self.daemons[index];
+        if is_dead && let Some(holder) = &daemon.holder {
+            let id = holder.id();
+            if !daemon.ended.contains(&id) {
+                daemon.ended.push(id);
+            }
+            if self.store.is_reachable(self.now) {
+                self.store.end(id);
+            }
+        }
+    }
+
+    pub(super) fn register(&mut self, index: usize) {
+        let daemon = &self.daemons[index];
+        let (Some(born), None) = (daemon.seen, &daemon.holder) else { return };
+        if !self.store.is_reachable(self.now) {
+            return;
+        }
+        let id = self.store.register(index, born);
+        let holder = Holder::new(id, SERVICE, Arc::clone(&daemon.table), self.now);
+        self.daemons[index].holder = Some(holder);
+    }
+
+    pub(super) fn stand(&mut self, index: usize) {
+        let daemon = &self.daemons[index];
+        let is_own = leader_of(&daemon.table) == Some(index);
+        let silence = SILENCE + Duration::from_millis(self.random.u64(..800));
+        let is_lost = self.now > daemon.heard + silence || is_own || daemon.table.version == 0;
+        if !is_lost || !self.store.is_reachable(self.now) {
+            return;
+        }
+        let (revision, stored) = self.store.read();
+        let (term, is_new) = (daemon.table.term, stored.version == 0);
+        let is_news = stored.term > term && !is_own && !is_new;
+        let asked = self.now;
+        self.learn(index, &stored);
+        if is_news {
+            return;
+        }
+        let run = self.daemons[index].run;
+        let next = Table {
+            version: stored.version + 1,
+            term: stored.term + 1,
+            leader: index.to_string(),
+            run,
+            ..(*stored).clone()
+        };
+        let outcome = self.write(next.clone(), revision);
+        if let Outcome::Done(revision) = outcome {
+            let now = match self.deviates(Deviation::NoInheritance) {
+                true => self.now - Duration::from_secs(20),
+                false => self.now,
+            };
+            self.daemons[index].leader = Some(Leader::new(asked, revision, now));
+            self.daemons[index].is_listed = false;
+            self.learn(index, &Arc::new(next));
+        }
+    }
+
+    /// A conditional write; a late one is applied later.
+    fn write(&mut self, table: Table, revision: u64) -> Outcome {
+        let text = format!("term {} version {} {:?}", table.term, table.version, table.services);
+        let outcome = self.store.write(table, revision, self.now, &mut self.random);
+        self.tell(|_| format!("write at {revision}: {outcome:?} {text}"));
+        self.schedule_late();
+        outcome
+    }
+
+    pub(super) fn schedule_late(&mut self) {
+        if let Some(at) = self.store.next_late() {
+            self.schedule(at, Event::Store);
+        }
+    }
+
+    pub(super) fn lead(&mut self, index: usize) {
+        let reachable = self.store.is_reachable(self.now);
+        let entries = self.store.entries();
+        let zones_out = self.zones_out.clone();
+        let asked = self.now;
+        let is_listed = std::mem::replace(&mut self.daemons[index].is_listed, reachable);
+        if reachable && let Some(leader) = &mut self.daemons[index].leader {
+            if !is_listed {
+                leader.relist();
+            }
+            for (instance, id) in &entries {
+                leader.announce(*id, member(*instance), asked);
+                if self.store.has_ended(*id) {
+                    leader.note_end(*id);
+                }
+            }
+            if leader.has_to_read(asked) {
+                self.read_back(index);
+            }
+        }
+        let daemon = &mut self.daemons[index];
+        let Some(leader) = &mut daemon.leader else { return };
+        let is_in = |zone: &str| !zone.parse::<usize>().is_ok_and(|zone| zones_out[zone]);
+        let services = std::iter::once(SERVICE);
+        let Some((next, revision)) = leader.next_table(&daemon.table, services, is_in, asked)
+        else {
+            return;
+        };
+        if self.deviation == Some(Deviation::NoCondemnation) {
+            leader.conflicted();
+            leader.read_back(revision, Time::ZERO);
+        }
+        if !reachable {
+            return;
+        }
+        match self.write(next.clone(), revision) {
+            Outcome::Done(revision) => {
+                if let Some(leader) = &mut self.daemons[index].leader {
+                    leader.stored(&next, revision, asked);
+                }
+                self.learn(index, &Arc::new(next));
+            }
+            Outcome::Conflict => {
+                if let Some(leader) = &mut self.daemons[index].leader {
+                    leader.conflicted();
+                }
+            }
+            Outcome::Lost => {}
+        }
+    }
+
+    fn read_back(&mut self, index: usize) {
+        let asked = self.now;
+        let (revision, stored) = self.store.read();
+        self.learn(index, &stored);
+        if let Some(leader) = &mut self.daemons[index].leader {
+            leader.read_back(revision, asked);
+        }
+    }
+}
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -1,5 +1,7 @@
 //! A world of daemons, servers and one store, driven by a seed.
 
+mod leading;
+mod parts;
 mod server;
 mod store;
 
@@ -8,12 +10,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{
-    Grant, Heartbeat, Holder, HolderId, LEASE, Leader, Member, Release, Renewal, Table, Time,
-};
+use cactushold_ownership::{Heartbeat, HolderId, LEASE, Table, Time};
 
+use parts::{Daemon, Due, Event, Message, early_releases, leader_of, short};
 use server::Server;
-use store::{Outcome, Store};
+use store::Store;
 
 /// Daemons, each beside a server of the one service.
 const DAEMONS: usize = 4;
@@ -45,63 +46,6 @@
     EarlyRelease,
 }
 
-#[derive(Clone, Debug)]
-enum Message {
-    Heartbeat { from: usize, id: HolderId, heartbeat: Heartbeat },
-    Renewal { run: u64, term: u64, version: u64, table: Arc<Table>, renewal: Renewal },
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Heartbeat(usize),
-    Report(usize),
-    Round(usize),
-    Deliver(usize, Message),
-    Store,
-    Chaos,
-    Restart(usize),
-    StartServer(usize),
-}
-
-#[derive(Debug)]
-struct Daemon {
-    run: u64,
-    is_alive: bool,
-    paused_until: Time,
-    cut_until: Time,
-    /// Life that the server last reported to this process, by its start.
-    seen: Option<u64>,
-    holder: Option<Holder>,
-    ended: Vec<HolderId>,
-    table: Arc<Table>,
-    leader: Option<Leader>,
-    heard: Time,
-    is_listed: bool,
-}
-
-struct Due {
-    at: Time,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Due) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// Everything in one schedule.
 pub struct World {
     now: Time,
@@ -496,142 +440,6 @@
         }
     }
 
-    fn notice_end(&mut self, index: usize) {
-        let is_dead = !self.servers[index].is_alive;
-        let daemon = &mut self.daemons[index];
-        if is_dead && let Some(holder) = &daemon.holder {
-            let id = holder.id();
-            if !daemon.ended.contains(&id) {
-                daemon.ended.push(id);
-            }
-            if self.store.is_reachable(self.now) {
-                self.store.end(id);
-            }
-        }
-    }
-
-    fn register(&mut self, index: usize) {
-        let daemon = &self.daemons[index];
-        let (Some(born), None) = (daemon.seen, &daemon.holder) else { return };
-        if !self.store.is_reachable(self.now) {
-            return;
-        }
-        let id = self.store.register(index, born);
-        let holder = Holder::new(id, SERVICE, Arc::clone(&daemon.table), self.now);
-        self.daemons[index].holder = Some(holder);
-    }
-
-    fn stand(&mut self, index: usize) {
-        let daemon = &self.daemons[index];
-        let is_own = leader_of(&daemon.table) == Some(index);
-        let silence = SILENCE + Duration::from_millis(self.random.u64(..800));
-        let is_lost = self.now > daemon.heard + silence || is_own || daemon.table.version == 0;
-        if !is_lost || !self.store.is_reachable(self.now) {
-            return;
-        }
-        let (revision, stored) = self.store.read();
-        let (term, is_new) = (daemon.table.term, stored.version == 0);
-        let is_news = stored.term > term && !is_own && !is_new;
-        let asked = self.now;
-        self.learn(index, &stored);
-        if is_news {
-            return;
-        }
-        let run = self.daemons[index].run;
-        let next = Table {
-            version: stored.version + 1,
-            term: stored.term + 1,
-            leader: index.to_string(),
-            run,
-            ..(*stored).clone()
-        };
-        let outcome = self.write(next.clone(), revision);
-        if let Outcome::Done(revision) = outcome {
-            let now = match self.deviates(Deviation::NoInheritance) {
-                true => self.now - Duration::from_secs(20),
-                false => self.now,
-            };
-            self.daemons[index].leader = Some(Leader::new(asked, revision, now));
-            self.daemons[index].is_listed = false;
-            self.learn(index, &Arc::new(next));
-        }
-    }
-
-    /// A conditional write; a late one is applied later.
-    fn write(&mut self, table: Table, revision: u64) -> Outcome {
-        let text = format!("term {} version {} {:?}", table.term, table.version, table.services);
-        let outcome = self.store.write(table, revision, self.now, &mut self.random);
-        self.tell(|_| format!("write at {revision}: {outcome:?} {text}"));
-        self.schedule_late();
-        outcome
-    }
-
-    fn schedule_late(&mut self) {
-        if let Some(at) = self.store.next_late() {
-            self.schedule(at, Event::Store);
-        }
-    }
-
-    fn lead(&mut self, index: usize) {
-        let reachable = self.store.is_reachable(self.now);
-        let entries = self.store.entries();
-        let zones_out = self.zones_out.clone();
-        let asked = self.now;
-        let is_listed = std::mem::replace(&mut self.daemons[index].is_listed, reachable);
-        if reachable && let Some(leader) = &mut self.daemons[index].leader {
-            if !is_listed {
-                leader.relist();
-            }
-            for (instance, id) in &entries {
-                leader.announce(*id, member(*instance), asked);
-                if self.store.has_ended(*id) {
-                    leader.note_end(*id);
-                }
-            }
-            if leader.has_to_read(asked) {
-                self.read_back(index);
-            }
-        }
-        let daemon = &mut self.daemons[index];
-        let Some(leader) = &mut daemon.leader else { return };
-        let is_in = |zone: &str| !zone.parse::<usize>().is_ok_and(|zone| zones_out[zone]);
-        let services = std::iter::once(SERVICE);
-        let Some((next, revision)) = leader.next_table(&daemon.table, services, is_in, asked)
-        else {
-            return;
-        };
-        if self.deviation == Some(Deviation::NoCondemnation) {
-            leader.conflicted();
-            leader.read_back(revision, Time::ZERO);
-        }
-        if !reachable {
-            return;
-        }
-        match self.write(next.clone(), revision) {
-            Outcome::Done(revision) => {
-                if let Some(leader) = &mut self.daemons[index].leader {
-                    leader.stored(&next, revision, asked);
-                }
-                self.learn(index, &Arc::new(next));
-            }
-            Outcome::Conflict => {
-                if let Some(leader) = &mut self.daemons[index].leader {
-                    leader.conflicted();
-                }
-            }
-            Outcome::Lost => {}
-        }
-    }
-
-    fn read_back(&mut self, index: usize) {
-        let asked = self.now;
-        let (revision, stored) = self.store.read();
-        self.learn(index, &stored);
-        if let Some(leader) = &mut self.daemons[index].leader {
-            leader.read_back(revision, asked);
-        }
-    }
-
     fn check(&self) -> Result<(), String> {
         for (at, server) in self.servers.iter().enumerate() {
             for (other_at, other) in self.servers.iter().enumerate().skip(at + 1) {
@@ -649,33 +457,3 @@
         }
     }
 }
-
-fn short(grants: &[Grant]) -> Vec<(u16, u16, u64)> {
-    grants.iter().map(|grant| (grant.hold.first, grant.hold.last, grant.hold.fence)).collect()
-}
-
-fn leader_of(table: &Table) -> Option<usize> {
-    table.leader.parse().ok()
-}
-
-fn member(index: usize) -> Member {
-    let address = ([127, 0, 0, 1], 1_000 + index as u16).into();
-    Member {
-        instance: index.to_string(),
-        zone: index.to_string(),
-        service: SERVICE.to_owned(),
-        address,
-        admin: address,
-        serves: true,
-    }
-}
-
-/// Releases of everything that moved away, whether the server gave it up or not.
-fn early_releases(id: HolderId, table: &Table) -> Vec<(Release, HolderId)> {
-    let moved = table.spans(SERVICE).filter(|(range, _)| range.earlier == id && range.holder != id);
-    let releases = moved.map(|(range, _)| {
-        let (first, fence) = (range.first, range.fence);
-        (Release { by: id, first, fence, handover: String::new() }, range.holder)
-    });
-    releases.collect()
-}
--- /dev/null
+++ b/crates/standin/src/daemon.rs
@@ -0,0 +1,106 @@
+//! A daemon as a process, and what is done to it.
+
+use std::net::SocketAddr;
+use std::process::Child;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use crate::environment::PATIENCE;
+use crate::relay::Relay;
+use crate::server::Server;
+
+/// A daemon process beside its upstream stand-in.
+pub struct Daemon {
+    /// Name of the instance.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Service.
+    pub service: String,
+    /// Address of its upstream.
+    pub upstream: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address that its datagrams come from.
+    pub peers: SocketAddr,
+    /// The network before it, if there is one to be disturbed.
+    pub relay: Option<Relay>,
+    /// The server beside it, if that reports its liveness.
+    pub server: Option<Server>,
+    /// Where it tells whether it takes callers, if its server reports.
+    pub ready: Option<SocketAddr>,
+    pub(crate) child: Child,
+    pub(crate) log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Daemon {
+    /// Has a server report to this daemon.
+    pub(crate) fn attach(&mut self, server: Server) {
+        let start = Instant::now();
+        let line = loop {
+            let found = self.log().into_iter().find(|line| line.contains("listening-for-reports"));
+            if let Some(line) = found {
+                break line;
+            }
+            assert!(start.elapsed() < PATIENCE, "{} doesn't listen for reports", self.name);
+            std::thread::sleep(Duration::from_millis(2));
+        };
+        let line: Value = serde_json::from_str(&line).unwrap_or_default();
+        let address = |key: &str| line[key].as_str().and_then(|text| text.parse().ok());
+        self.ready = address("ready");
+        server.report_to(address("reports").expect("an address for reports"));
+        self.server = Some(server);
+    }
+
+    /// Process id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Lines logged so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("no holder panics").clone()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).expect("a child's id is positive");
+        kill_process(pid, signal).ok();
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Exit code, once the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().and_then(|status| status.code())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -3,14 +3,14 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
-use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
+use crate::daemon::Daemon;
 use crate::http::{Answer, Http};
 use crate::relay::Relay;
 use crate::server::Server;
@@ -20,105 +20,12 @@
 /// How long the environment waits for something that has to happen.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
-/// A daemon process beside its upstream stand-in.
-pub struct Daemon {
-    /// Name of the instance.
-    pub name: String,
-    /// Availability zone.
-    pub zone: String,
-    /// Service.
-    pub service: String,
-    /// Address of its upstream.
-    pub upstream: SocketAddr,
-    /// Address for callers.
-    pub callers: SocketAddr,
-    /// Address for operators.
-    pub admin: SocketAddr,
-    /// Address that its datagrams come from.
-    pub peers: SocketAddr,
-    /// The network before it, if there is one to be disturbed.
-    pub relay: Option<Relay>,
-    /// The server beside it, if that reports its liveness.
-    pub server: Option<Server>,
-    /// Where it tells whether it takes callers, if its server reports.
-    pub ready: Option<SocketAddr>,
-    child: Child,
-    log: Arc<Mutex<Vec<String>>>,
-}
-
 /// Settings of a daemon whose server reports.
 const REPORTS: &str = "[reports]\nlisten = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
      interval = \"200ms\"\nbounds = [\"hold_max=10s\", \"drain=2s\", \"grace=6s\", \"budget_ratio=0.2\",\n     \"budget_slack=20\"]\n";
 /// Time of a run at a server that reports.
 const RUN: Duration = Duration::from_millis(5);
 
-impl Daemon {
-    /// Has a server report to this daemon.
-    fn attach(&mut self, server: Server) {
-        let start = Instant::now();
-        let line = loop {
-            let found = self.log().into_iter().find(|line| line.contains("listening-for-reports"));
-            if let Some(line) = found {
-                break line;
-            }
-            assert!(start.elapsed() < PATIENCE, "{} doesn't listen for reports", self.name);
-            std::thread::sleep(Duration::from_millis(2));
-        };
-        let line: Value = serde_json::from_str(&line).unwrap_or_default();
-        let address = |key: &str| line[key].as_str().and_then(|text| text.parse().ok());
-        self.ready = address("ready");
-        server.report_to(address("reports").expect("an address for reports"));
-        self.server = Some(server);
-    }
-
-    /// Process id.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Lines logged so far.
-    pub fn log(&self) -> Vec<String> {
-        self.log.lock().expect("no holder panics").clone()
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32).expect("a child's id is positive");
-        kill_process(pid, signal).ok();
-    }
-
-    /// Ends the process at once.
-    pub fn kill(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-    }
-
-    /// Freezes the process.
-    pub fn pause(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Lets a frozen process go on.
-    pub fn resume(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Asks for a graceful shutdown.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Exit code, once the process has ended.
-    pub fn exit_code(&mut self) -> Option<i32> {
-        self.child.try_wait().ok().flatten().and_then(|status| status.code())
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// One environment at a time: others would take its processors and look like failures.
 static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Development-only stand-ins for what surrounds the daemons: platform, upstream, callers.
 
 pub mod bench;
+pub mod daemon;
 pub mod environment;
 pub mod http;
 pub mod platform;
