Tell how late a daemon's threads were for their own timers

The logs couldn't tell a connection that went silent from a daemon, at either end, that stood still for a while: a request that failed so had an empty detail, event 500 no figures, and nothing told how late a thread was.

Event 500 tells the calls that were open, how long nothing was heard and how late this end was for its own limit. A request that fails with the connection says so. No decision changes.

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -65,6 +65,8 @@
     RestartNeeded = 122, "restart-needed";
     /// Lines of the log were lost: its reader was too slow.
     LinesLost = 123, "lines-lost";
+    /// A thread was late for its own timers: it was busy, or got no processor.
+    Stalled = 124, "stalled";
     /// A newer configuration is in force here.
     ConfigInForce = 200, "config-in-force";
     /// A newer slice table is in force here.
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -32,7 +32,7 @@
 use crate::peer::Links;
 use crate::shared::{Command, Shared};
 use crate::signals::Stop;
-use crate::{clock, peer_quota};
+use crate::{clock, peer_quota, stall};
 
 pub use self::publish::place;
 
@@ -172,12 +172,15 @@
     async fn keep_ticking(self: Rc<Self>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut stalls = stall::Watch::new("control");
         loop {
             ticks.tick().await;
             let now = clock::now();
+            stalls.note(now);
             self.publish(now);
             self.look_after_silence(now);
             self.shared.guard().call_next(&self.config.borrow(), now);
+            stalls.expect(TICK, now);
         }
     }
 
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -334,7 +334,10 @@
     let broken = |error: capnp::Error| Refusal::sent(Kind::Broken).with_detail(error.to_string());
     let results = tokio::select! {
         results = call.send().promise => results.map_err(lost)?,
-        () = link.lost() => return Err(Refusal::sent(Kind::LinkLost)),
+        () = link.lost() => {
+            let detail = format!("the connection to daemon {target} was given up");
+            return Err(Refusal::sent(Kind::LinkLost).with_detail(detail));
+        }
     };
     open.answered();
     let results = results.get().map_err(broken)?;
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -33,6 +33,9 @@
 /// Processor time used by control work, in microseconds.
 pub const CONTROL_CPU: &str = "cactushold_control_cpu_microseconds_total";
 
+/// Time by which a thread was late for its timers, in milliseconds, by thread.
+pub const STALLS: &str = "cactushold_stalled_milliseconds_total";
+
 /// When the process started, in seconds of Unix time.
 pub const START_TIME: &str = "cactushold_start_time_seconds";
 
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -14,7 +14,7 @@
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::event::Event;
-use crate::{clock, log, metric};
+use crate::{clock, log, metric, stall};
 
 /// Time in which a connection has to come about.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -74,14 +74,28 @@
         now > self.oldest.get().max(self.heard.get()) + QUIET
     }
 
+    fn tell_silence(&self, asked: Time, now: Time) {
+        let quiet_since = self.oldest.get().max(self.heard.get());
+        let late = now.saturating_sub(asked + PROBE);
+        log!(
+            info,
+            Event::SilentConnection,
+            to = %self.address,
+            calls = self.open.get(),
+            quiet_ms = now.saturating_sub(quiet_since).as_millis() as u64,
+            late_ms = late.as_millis() as u64
+        );
+    }
+
     /// Probes the connection while calls are open and nothing is heard.
     async fn watch(self: Rc<Link>) {
         while self.is_usable() {
             if self.open.get() == 0 {
                 self.started.notified().await;
             }
-            tokio::time::sleep(QUIET / 2).await;
-            if self.open.get() == 0 || !self.is_quiet(clock::now()) {
+            stall::tell("worker", stall::sleep(QUIET / 2).await);
+            let asked = clock::now();
+            if self.open.get() == 0 || !self.is_quiet(asked) {
                 continue;
             }
             let probe = self.peer.share_request().send().promise;
@@ -90,7 +104,7 @@
             } else if self.is_usable() {
                 self.state.send_replace(State::Silent);
                 metrics::counter!(metric::SILENT_CONNECTIONS, "to" => "peer").increment(1);
-                log!(info, Event::SilentConnection, to = %self.address);
+                self.tell_silence(asked, clock::now());
             }
         }
     }
