Keep requests under way on a connection over which nothing is heard

Cause: a connection counted as silent when a probe wasn't answered for 200 ms, and all calls under way on it ended. A daemon with a tenth of a core that is slow to answer, or stands still, does just that, and so does one end that got no processor itself and hasn't read what has arrived.

Evidence: stalls::a_request_beyond_a_daemon_that_stood_still_gets_its_answer failed before (502 link-lost), passes now.

Change: a missing sign of life only makes the connection suspect: new calls go over another one. Calls under way go on until the other connection shows that the daemon answers there and not here, or two dials in a row fail. An answer to any call is a sign of life. Limits are waited out in steps that count a stall of this thread once, and a last look at what has arrived. A request that may be repeated gets a second attempt while its first is in doubt: elsewhere, within the budget, or at the next holder of its key. A hedge without a target no longer ends a request that is under way. Connections are closed when nobody uses them.

Ruled out: only lengthening the limits (a daemon may be starved for longer, and connections that really went silent have to be found in time).

--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -99,7 +99,7 @@
     Fresh = 401, "fresh";
     /// A request was refused or failed.
     RequestFailed = 402, "request-failed";
-    /// A silent connection was replaced.
+    /// Nothing was heard over a connection for too long; new calls go over another one.
     SilentConnection = 500, "silent-connection";
     /// A graceful shutdown began.
     Stopping = 600, "stopping";
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,11 +1,14 @@
 //! A request and its answer on their way between ingress, guard and upstream.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use cactushold_attempt::Kind;
 pub use cactushold_attempt::RouteId;
 use cactushold_lease::Time;
 use hyper::{HeaderMap, Method};
 
+use crate::peer::Link;
 use crate::upstream::Stream;
 
 /// Prefix of headers that only daemons set.
@@ -91,8 +94,8 @@
 pub enum Rest {
     /// Read from the upstream beside this daemon.
     Local(Stream),
-    /// Read through the upstream's daemon.
-    Remote(cactushold_wire::schema::body::Client),
+    /// Read through the upstream's daemon, over this connection.
+    Remote(cactushold_wire::schema::body::Client, Rc<Link>),
 }
 
 /// The upstream's answer.
--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -137,14 +137,14 @@
             let piece = stream.next().await.map_err(|_| Cut)?;
             Ok(piece.map(|piece| (piece, Some((None, Rest::Local(stream))))))
         }
-        Rest::Remote(body) => {
+        Rest::Remote(body, link) => {
             let answer = body.read_request().send().promise.await.map_err(|_| Cut)?;
             let answer = answer.get().map_err(|_| Cut)?;
             if answer.get_end() {
                 return Ok(None);
             }
             let piece = Bytes::copy_from_slice(answer.get_chunk().map_err(|_| Cut)?);
-            Ok(Some((piece, Some((None, Rest::Remote(body))))))
+            Ok(Some((piece, Some((None, Rest::Remote(body, link))))))
         }
     }
 }
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -1,12 +1,15 @@
 //! Attempts of one request: where to, when again, when two at a time.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cactushold_attempt::{Backoff, GrantWait, Kind, Verdict, may_retry, outweighs};
 use cactushold_lease::{Incarnation, Time};
 use futures::stream::{FuturesUnordered, StreamExt};
+use tokio::sync::Notify;
 
 use crate::exchange::{Answer, Outlook, Refusal, Request};
 use crate::ingress::targets::Targets;
@@ -15,7 +18,7 @@
 
 /// Pauses between attempts.
 const BACKOFF: Backoff = Backoff { base: Duration::from_millis(4), cap: Duration::from_millis(40) };
-/// Failures of a request up to which a lost connection costs no budget.
+/// Lost connections of a request that cost no budget.
 const MAX_FREE_LOSSES: u32 = 2;
 /// Failed tries of a request, after which a caller of a told upstream is told to come back.
 const MOST_FAILURES: u32 = 4;
@@ -63,14 +66,15 @@
 }
 
 /// Runs a request: one attempt after another, and for idempotent ones a second one beside the
-/// first when that takes unusually long.
+/// first when that takes unusually long or nothing is heard of it any more.
 pub async fn run(worker: &Rc<Worker>, request: Request) -> Answer {
     worker.budget(&request.service).earn();
     let mut plan = Plan::new(worker, &request);
+    let doubt = Doubt::default();
     let mut running = FuturesUnordered::new();
-    running.push(attempt(worker, &request, plan.choose()?));
+    running.push(attempt(worker, &request, plan.choose()?, &doubt));
     loop {
-        let hedge = plan.hedge_delay(running.len());
+        let may_hedge = plan.may_hedge(running.len());
         tokio::select! {
             Some(outcome) = running.next(), if !running.is_empty() => {
                 match plan.judge(outcome, !running.is_empty()) {
@@ -80,15 +84,13 @@
                         if !pause.is_zero() {
                             tokio::time::sleep(pause).await;
                         }
-                        running.push(attempt(worker, &request, plan.choose()?));
+                        running.push(attempt(worker, &request, plan.choose()?, &doubt));
                     }
                 }
             }
-            () = tokio::time::sleep(hedge.unwrap_or_default()), if hedge.is_some() => {
-                plan.hedged = true;
-                if worker.budget(&request.service).spend() {
-                    metrics::counter!(metric::HEDGES).increment(1);
-                    running.push(attempt(worker, &request, plan.choose()?));
+            () = plan.hedge_due(&doubt), if may_hedge => {
+                if let Some(choice) = plan.hedge() {
+                    running.push(attempt(worker, &request, choice, &doubt));
                 }
             }
             () = tokio::time::sleep_until(clock::instant(request.deadline)) => {
@@ -98,6 +100,30 @@
     }
 }
 
+/// Whether nothing is heard any more of an attempt that is under way.
+#[derive(Default)]
+struct Doubt {
+    is_raised: Cell<bool>,
+    raised: Notify,
+}
+
+impl Doubt {
+    fn raise(&self) {
+        self.is_raised.set(true);
+        self.raised.notify_one();
+    }
+
+    /// Resolves once it is raised.
+    async fn wait(&self) {
+        while !self.is_raised.get() {
+            self.raised.notified().await;
+        }
+    }
+}
+
+/// Where an attempt goes, and how long the request would take at another target.
+type Destination = (Incarnation, Option<Time>);
+
 enum Step {
     /// The caller gets this.
     Finish(Box<Answer>),
@@ -111,7 +137,11 @@
     worker: &'a Rc<Worker>,
     request: &'a Request,
     targets: Targets,
+    /// Where the first attempt went.
+    first: Option<Incarnation>,
     failures: u32,
+    /// Failures by a lost connection.
+    losses: u32,
     /// Attempts that were handed to an upstream.
     sent: u32,
     hedged: bool,
@@ -126,12 +156,24 @@
         let kind = if request.key.is_some() { Kind::NoOwner } else { Kind::NoUpstream };
         let wait = GrantWait::new(request.arrived, request.goal, request.deadline);
         let last = Refusal::new(kind).with_retry(wait.retry_after(request.arrived));
-        Plan { worker, request, targets, failures: 0, sent: 0, hedged: false, wait, last }
+        Plan {
+            worker,
+            request,
+            targets,
+            first: None,
+            failures: 0,
+            losses: 0,
+            sent: 0,
+            hedged: false,
+            wait,
+            last,
+        }
     }
 
     /// The next target, and how long the request would take at another one.
-    fn choose(&mut self) -> Result<(Incarnation, Option<Time>), Refusal> {
+    fn choose(&mut self) -> Result<Destination, Refusal> {
         let target = self.target()?;
+        self.first.get_or_insert(target);
         let shared = &self.worker.shared;
         let elsewhere = match shared.is_told() {
             true => self.targets.elsewhere(shared, &shared.view(), self.request, clock::now()),
@@ -152,14 +194,48 @@
         target.ok_or_else(|| self.last.clone())
     }
 
-    fn hedge_delay(&self, running: usize) -> Option<Duration> {
-        // A keyed request can run in one place only.
-        let may = self.request.idempotent
-            && self.request.key.is_none()
-            && !self.worker.shared.is_told()
-            && !self.hedged
-            && (1..MAX_PARALLEL).contains(&running);
-        may.then(|| self.worker.usual_latency(&self.request.service))
+    /// Whether a second attempt may run beside the first.
+    fn may_hedge(&self, running: usize) -> bool {
+        let is_keyed = self.request.key.is_some();
+        self.request.idempotent
+            && (is_keyed || !self.hedged)
+            && (1..MAX_PARALLEL).contains(&running)
+            && self.sent + 1 < self.request.max_attempts
+    }
+
+    /// Resolves when a hedge is due: when the first attempt takes unusually long, where that may
+    /// cost a second run, or is in doubt. The key of a keyed request may get another holder then.
+    async fn hedge_due(&self, doubt: &Doubt) {
+        if self.request.key.is_some() {
+            doubt.wait().await;
+            tokio::time::sleep(BACKOFF.cap).await;
+        } else if self.worker.shared.is_told() {
+            doubt.wait().await;
+        } else {
+            let usual = self.worker.usual_latency(&self.request.service);
+            tokio::time::timeout(usual, doubt.wait()).await.ok();
+        }
+    }
+
+    /// Where a hedge goes, if there is another target and the budget has room for it.
+    fn hedge(&mut self) -> Option<Destination> {
+        let (shared, request) = (&self.worker.shared, self.request);
+        let view = shared.view();
+        if request.key.is_some() {
+            let turn = self.failures as usize;
+            self.targets = Targets::except(shared, &view, request, self.first?, turn);
+        }
+        // Without reports, another holder of a key runs nothing before the first one's lease is over.
+        let is_free = request.key.is_some() && !shared.is_told();
+        let has_room = self.hedged || is_free || self.worker.budget(&request.service).spend();
+        self.hedged = true;
+        if !has_room || !self.targets.has_untried(&view, &request.service) {
+            return None;
+        }
+        let mut random = self.worker.random.borrow_mut();
+        let target = self.targets.next(shared, &view, request, clock::now(), &mut random)?;
+        metrics::counter!(metric::HEDGES).increment(1);
+        Some((target, None))
     }
 
     fn judge(&mut self, outcome: Outcome, is_running: bool) -> Step {
@@ -173,6 +249,7 @@
         };
         self.targets.unlearn(&self.worker.shared, outcome.target);
         self.failures += 1;
+        self.losses += u32::from(refusal.kind == Kind::LinkLost);
         self.sent += u32::from(refusal.is_sent);
         let (kind, is_sent) = (refusal.kind, refusal.is_sent);
         if self.targets.is_moving() {
@@ -234,7 +311,7 @@
         let is_free = match kind {
             _ if self.worker.shared.is_told() => !is_sent,
             Kind::NotOwner | Kind::NotYetOwner | Kind::Unreachable | Kind::Draining => true,
-            Kind::LinkLost => self.failures <= MAX_FREE_LOSSES,
+            Kind::LinkLost => self.losses <= MAX_FREE_LOSSES,
             _ => false,
         };
         if !is_free && !self.worker.budget(&self.request.service).spend() {
@@ -264,11 +341,12 @@
 async fn attempt(
     worker: &Rc<Worker>,
     request: &Request,
-    (target, elsewhere): (Incarnation, Option<Time>),
+    (target, elsewhere): Destination,
+    doubt: &Doubt,
 ) -> Outcome {
     let tally = Tally::start(worker, target);
     worker.shared.forecasts().entry(target).or_default().sent();
-    let (answer, outlook) = send(worker, request, target, elsewhere).await;
+    let (answer, outlook) = send(worker, request, (target, elsewhere), doubt).await;
     note_outlook(worker, request, target, outlook, &answer);
     let failed = answer
         .as_ref()
@@ -291,12 +369,13 @@
     forecasts.entry(target).or_default().ended(request.route, told, failure, now);
 }
 
-/// Sends one attempt; also tells what the next one may expect there, if that is known.
+/// Sends one attempt; also tells what the next one may expect there, if that is known. `doubt` is
+/// raised when nothing is heard of the attempt any more.
 async fn send(
     worker: &Rc<Worker>,
     request: &Request,
-    target: Incarnation,
-    elsewhere: Option<Time>,
+    (target, elsewhere): Destination,
+    doubt: &Doubt,
 ) -> (Answer, Option<Outlook>) {
     let shared = &worker.shared;
     let view = shared.view();
@@ -310,7 +389,7 @@
     let Some(address) = member.map(|member| member.peer.address) else {
         return (Err(Refusal::new(Kind::Unreachable)), None);
     };
-    match forward(worker, request, target, address, elsewhere).await {
+    match forward(worker, request, (target, elsewhere), address, doubt).await {
         Ok((answer, outlook)) => (answer, Some(outlook)),
         Err(refusal) => (Err(refusal), None),
     }
@@ -319,9 +398,9 @@
 async fn forward(
     worker: &Rc<Worker>,
     request: &Request,
-    target: Incarnation,
+    (target, elsewhere): Destination,
     address: SocketAddr,
-    elsewhere: Option<Time>,
+    doubt: &Doubt,
 ) -> Result<(Answer, Outlook), Refusal> {
     let link = worker.links.get(address).await;
     let link = link.map_err(|error| {
@@ -332,16 +411,25 @@
     let open = link.start();
     let lost = |error: capnp::Error| Refusal::sent(Kind::LinkLost).with_detail(error.to_string());
     let broken = |error: capnp::Error| Refusal::sent(Kind::Broken).with_detail(error.to_string());
-    let results = tokio::select! {
-        results = call.send().promise => results.map_err(lost)?,
-        () = link.lost() => {
-            let detail = format!("the connection to daemon {target} was given up");
-            return Err(Refusal::sent(Kind::LinkLost).with_detail(detail));
+    let mut results = pin!(call.send().promise);
+    let answered = tokio::select! {
+        results = &mut results => Some(results),
+        () = link.suspect() => {
+            doubt.raise();
+            tokio::select! {
+                results = &mut results => Some(results),
+                () = link.lost() => None,
+            }
         }
     };
+    let Some(results) = answered else {
+        let detail = format!("the connection to daemon {target} was given up");
+        return Err(Refusal::sent(Kind::LinkLost).with_detail(detail));
+    };
+    let results = results.map_err(lost)?;
     open.answered();
     let results = results.get().map_err(broken)?;
     let answer = results.get_answer().map_err(broken)?;
     let outlook = peer::read_outlook(answer);
-    Ok((peer::read_answer(answer, request.attempt).map_err(broken)?, outlook))
+    Ok((peer::read_answer(answer, request.attempt, &link).map_err(broken)?, outlook))
 }
--- a/crates/daemon/src/ingress/targets.rs
+++ b/crates/daemon/src/ingress/targets.rs
@@ -37,6 +37,28 @@
         Targets { slice, owners, turn: 0, tried: Vec::new(), may_probe, is_moving }
     }
 
+    /// The same without one holder, and with the others' turns beginning at `turn`.
+    pub fn except(
+        shared: &Shared,
+        view: &View,
+        request: &Request,
+        holder: Incarnation,
+        turn: usize,
+    ) -> Targets {
+        let mut targets = Targets::of(shared, view, request);
+        targets.owners.retain(|owner| *owner != holder);
+        targets.turn = turn;
+        targets
+    }
+
+    /// Whether there is a daemon that wasn't tried yet.
+    pub fn has_untried(&self, view: &View, service: &str) -> bool {
+        match self.slice {
+            Some(_) => !self.owners.is_empty(),
+            None => self.serving(view, service).any(|id| !self.tried.contains(&id)),
+        }
+    }
+
     /// Whether the key is on its way from one holder to another.
     pub fn is_moving(&self) -> bool {
         self.is_moving
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,7 +21,7 @@
 mod reload;
 mod shared;
 mod signals;
-mod stall;
+pub mod stall;
 mod threads;
 mod upstream;
 mod worker;
--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -1,5 +1,6 @@
 //! Requests and answers to and from their wire form.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use hyper::{HeaderMap, Method};
 
 use crate::exchange::{Answer, Outlook, Refusal, Reply, Request, Rest};
-use crate::peer;
+use crate::peer::{self, Link};
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
@@ -107,7 +108,7 @@
             out.set_body(&reply.body);
             match reply.rest {
                 Some(Rest::Local(stream)) => out.set_rest(peer::serve_body(stream)),
-                Some(Rest::Remote(body)) => out.set_rest(body),
+                Some(Rest::Remote(body, _)) => out.set_rest(body),
                 None => {}
             }
             write_headers(out.init_headers(reply.headers.len() as u32), &reply.headers);
@@ -123,8 +124,9 @@
     }
 }
 
-/// Reads the answer to `attempt`; an answer to another one counts as malformed.
-pub fn read_answer(reader: answer::Reader<'_>, attempt: u64) -> Result<Answer> {
+/// Reads the answer to `attempt` that came over a connection; an answer to another one counts as
+/// malformed.
+pub fn read_answer(reader: answer::Reader<'_>, attempt: u64, link: &Rc<Link>) -> Result<Answer> {
     if reader.get_attempt() != attempt {
         return Ok(Err(Refusal::new(Kind::BadAnswer).with_detail("crossed answer")));
     }
@@ -141,7 +143,7 @@
         answer::Reply(reply) => {
             let reply = reply?;
             let rest = match reply.has_rest() {
-                true => Some(Rest::Remote(reply.get_rest()?)),
+                true => Some(Rest::Remote(reply.get_rest()?, Rc::clone(link))),
                 false => None,
             };
             Ok(Ok(Reply {
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -1,9 +1,13 @@
 //! Connections to other daemons, one a worker and daemon; silent ones are replaced.
+//!
+//! A daemon that gets no processor answers no probe either. So silence alone only keeps new calls off
+//! a connection; those under way end once another connection shows that this one lost its other end.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::pin::pin;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use cactushold_lease::Time;
@@ -12,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::event::Event;
 use crate::{clock, log, metric, stall};
@@ -20,12 +25,16 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// A connection with a call open this long and nothing heard since is probed.
 const QUIET: Duration = Duration::from_millis(150);
-/// A probe unanswered for this long shows that the connection is silent.
+/// A probe unanswered for this long makes a connection suspect.
 const PROBE: Duration = Duration::from_millis(200);
+/// Time in which the probe of another connection to a suspect daemon is answered if that runs.
+const SECOND_PROBE: Duration = Duration::from_secs(1);
 /// After a failed dial, the next one waits this long.
 const REDIAL: Duration = Duration::from_millis(20);
+/// Failed dials in a row after which a daemon can't be reached any more.
+const MAX_DIALS: u32 = 2;
 
-/// One connection.
+/// One connection; it is closed when this is dropped.
 pub struct Link {
     /// The other daemon.
     pub peer: peer::Client,
@@ -33,15 +42,22 @@
     heard: Cell<Time>,
     open: Cell<u32>,
     oldest: Cell<Time>,
+    is_watched: Cell<bool>,
+    /// Wakes whoever waits for a sign of life when a call is answered.
+    answers: Notify,
     state: watch::Sender<State>,
-    started: Notify,
+    siblings: Weak<Table>,
+    _system: AbortOnDropHandle<()>,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum State {
+    /// Answers come.
     Working,
-    Silent,
-    Closed,
+    /// Nothing is heard; the other daemon may stand still.
+    Suspect,
+    /// Nothing will come any more.
+    Lost,
 }
 
 /// A call under way; notes the answer.
@@ -52,61 +68,125 @@
 
 impl Link {
     /// Notes that a call starts.
-    pub fn start(&self) -> Open<'_> {
+    pub fn start(self: &Rc<Link>) -> Open<'_> {
         if self.open.get() == 0 {
             self.oldest.set(clock::now());
         }
         self.open.set(self.open.get() + 1);
-        self.started.notify_one();
+        if !self.is_watched.replace(true) {
+            tokio::task::spawn_local(Rc::clone(self).watch());
+        }
         Open { link: self, answered: false }
     }
 
-    /// Resolves when the connection is found silent or closed.
+    /// Resolves when nothing is heard any more, though answers may still come.
+    pub async fn suspect(&self) {
+        self.reaches(State::Suspect).await;
+    }
+
+    /// Resolves when no answer will come any more.
     pub async fn lost(&self) {
-        self.state.subscribe().wait_for(|state| *state != State::Working).await.ok();
+        self.reaches(State::Lost).await;
     }
 
-    fn is_usable(&self) -> bool {
-        *self.state.borrow() == State::Working
+    async fn reaches(&self, least: State) {
+        let mut state = self.state.subscribe();
+        state.wait_for(|state| *state >= least).await.ok();
+    }
+
+    fn state(&self) -> State {
+        *self.state.borrow()
+    }
+
+    /// Changes the state; a lost connection stays lost.
+    fn set(&self, next: State) {
+        self.state.send_if_modified(|state| {
+            let is_news = *state != next && *state != State::Lost;
+            if is_news {
+                *state = next;
+            }
+            is_news
+        });
     }
 
     fn is_quiet(&self, now: Time) -> bool {
-        now > self.oldest.get().max(self.heard.get()) + QUIET
+        now > self.quiet_since() + QUIET
     }
 
-    fn tell_silence(&self, asked: Time, now: Time) {
-        let quiet_since = self.oldest.get().max(self.heard.get());
-        let late = now.saturating_sub(asked + PROBE);
-        log!(
-            info,
-            Event::SilentConnection,
-            to = %self.address,
-            calls = self.open.get(),
-            quiet_ms = now.saturating_sub(quiet_since).as_millis() as u64,
-            late_ms = late.as_millis() as u64
-        );
+    fn quiet_since(&self) -> Time {
+        self.oldest.get().max(self.heard.get())
     }
 
-    /// Probes the connection while calls are open and nothing is heard.
+    /// Probes the connection for as long as calls are open and nothing is heard.
     async fn watch(self: Rc<Link>) {
-        while self.is_usable() {
-            if self.open.get() == 0 {
-                self.started.notified().await;
-            }
+        while self.open.get() > 0 && self.state() != State::Lost {
             stall::tell("worker", stall::sleep(QUIET / 2).await);
-            let asked = clock::now();
-            if self.open.get() == 0 || !self.is_quiet(asked) {
-                continue;
+            if self.open.get() > 0 && self.is_quiet(clock::now()) {
+                self.probe().await;
             }
-            let probe = self.peer.share_request().send().promise;
-            if tokio::time::timeout(PROBE, probe).await.is_ok() {
-                self.heard.set(clock::now());
-            } else if self.is_usable() {
-                self.state.send_replace(State::Silent);
-                metrics::counter!(metric::SILENT_CONNECTIONS, "to" => "peer").increment(1);
-                self.tell_silence(asked, clock::now());
+        }
+        self.is_watched.set(false);
+    }
+
+    /// Asks for a sign of life, and finds out what its absence means.
+    async fn probe(&self) {
+        let asked = clock::now();
+        let probe = self.peer.share_request().send().promise;
+        let mut sign = pin!(async {
+            tokio::select! {
+                answer = probe => answer.is_ok(),
+                () = self.answers.notified() => true,
+            }
+        });
+        let mut is_alive = stall::timeout(PROBE, &mut sign).await;
+        if is_alive.is_none() {
+            self.set(State::Suspect);
+            self.tell_silence(asked, clock::now());
+            is_alive = tokio::select! {
+                is_alive = &mut sign => Some(is_alive),
+                () = self.is_disproved() => None,
+            };
+        }
+        if is_alive == Some(true) {
+            self.heard.set(clock::now());
+            self.set(State::Working);
+        } else {
+            self.set(State::Lost);
+        }
+    }
+
+    /// Returns once other connections show that no answer will come over this one: the daemon
+    /// answers there, or can't be reached at all. What it owes here still gets the time to arrive.
+    async fn is_disproved(&self) {
+        let Some(siblings) = self.siblings.upgrade() else { return };
+        let mut dials = 0;
+        while dials < MAX_DIALS {
+            let Ok(other) = Table::get(&siblings, self.address).await else {
+                dials += 1;
+                tokio::time::sleep(2 * REDIAL).await;
+                continue;
+            };
+            dials = 0;
+            let probe = other.peer.share_request().send().promise;
+            match stall::timeout(SECOND_PROBE, probe).await {
+                Some(Ok(_)) => break,
+                Some(Err(_)) => tokio::time::sleep(2 * REDIAL).await,
+                None => siblings.forget(&other),
             }
         }
+        stall::timeout(PROBE, std::future::pending::<()>()).await;
+    }
+
+    fn tell_silence(&self, asked: Time, now: Time) {
+        metrics::counter!(metric::SILENT_CONNECTIONS, "to" => "peer").increment(1);
+        log!(
+            info,
+            Event::SilentConnection,
+            to = %self.address,
+            calls = self.open.get(),
+            quiet_ms = now.saturating_sub(self.quiet_since()).as_millis() as u64,
+            late_ms = now.saturating_sub(asked + PROBE).as_millis() as u64
+        );
     }
 }
 
@@ -122,6 +202,7 @@
         self.link.open.set(self.link.open.get() - 1);
         if self.answered {
             self.link.heard.set(clock::now());
+            self.link.answers.notify_waiters();
         }
     }
 }
@@ -129,46 +210,64 @@
 /// A worker's connections.
 #[derive(Default)]
 pub struct Links {
+    table: Rc<Table>,
+}
+
+#[derive(Default)]
+struct Table {
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     failed: RefCell<HashMap<SocketAddr, Time>>,
 }
 
 impl Links {
-    /// The connection to a daemon; dials if there is none or it went silent.
+    /// The connection to a daemon; dials if there is none that works.
     ///
     /// # Errors
     /// The daemon can't be reached now. Nothing was sent.
     pub async fn get(&self, address: SocketAddr) -> std::io::Result<Rc<Link>> {
+        Table::get(&self.table, address).await
+    }
+
+    /// Forgets connections to daemons that the table doesn't name any more.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.table.links.borrow_mut().retain(|address, _| keep(address));
+        self.table.failed.borrow_mut().retain(|address, _| keep(address));
+    }
+}
+
+impl Table {
+    async fn get(this: &Rc<Table>, address: SocketAddr) -> std::io::Result<Rc<Link>> {
         let now = clock::now();
-        if let Some(link) = self.links.borrow().get(&address)
-            && link.is_usable()
+        if let Some(link) = this.links.borrow().get(&address)
+            && link.state() == State::Working
         {
             return Ok(Rc::clone(link));
         }
-        if self.failed.borrow().get(&address).is_some_and(|at| now < *at + REDIAL) {
+        if this.failed.borrow().get(&address).is_some_and(|at| now < *at + REDIAL) {
             return Err(std::io::ErrorKind::ConnectionRefused.into());
         }
-        match dial(address).await {
+        match dial(address, Rc::downgrade(this)).await {
             Ok(link) => {
-                tokio::task::spawn_local(Rc::clone(&link).watch());
-                self.links.borrow_mut().insert(address, Rc::clone(&link));
+                this.links.borrow_mut().insert(address, Rc::clone(&link));
                 Ok(link)
             }
             Err(error) => {
-                self.failed.borrow_mut().insert(address, clock::now());
+                this.failed.borrow_mut().insert(address, clock::now());
                 Err(error)
             }
         }
     }
 
-    /// Forgets connections to daemons that the table doesn't name any more.
-    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        self.links.borrow_mut().retain(|address, _| keep(address));
-        self.failed.borrow_mut().retain(|address, _| keep(address));
+    /// Has the next call dial anew; calls under way go on.
+    fn forget(&self, link: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        if links.get(&link.address).is_some_and(|known| Rc::ptr_eq(known, link)) {
+            links.remove(&link.address);
+        }
     }
 }
 
-async fn dial(address: SocketAddr) -> std::io::Result<Rc<Link>> {
+async fn dial(address: SocketAddr, siblings: Weak<Table>) -> std::io::Result<Rc<Link>> {
     let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
@@ -181,20 +280,26 @@
     );
     let mut system = RpcSystem::new(Box::new(network), None);
     let peer: peer::Client = system.bootstrap(Side::Server);
-    let link = Rc::new(Link {
-        peer,
-        address,
-        heard: Cell::new(Time::ZERO),
-        open: Cell::new(0),
-        oldest: Cell::new(Time::ZERO),
-        state: watch::Sender::new(State::Working),
-        started: Notify::new(),
-    });
-    let end = Rc::clone(&link);
-    tokio::task::spawn_local(async move {
-        system.await.ok();
-        end.state.send_replace(State::Closed);
-        end.started.notify_one();
+    let link = Rc::new_cyclic(|link: &Weak<Link>| {
+        let link = Weak::clone(link);
+        let running = tokio::task::spawn_local(async move {
+            system.await.ok();
+            if let Some(link) = link.upgrade() {
+                link.set(State::Lost);
+            }
+        });
+        Link {
+            peer,
+            address,
+            heard: Cell::new(Time::ZERO),
+            open: Cell::new(0),
+            oldest: Cell::new(Time::ZERO),
+            is_watched: Cell::new(false),
+            answers: Notify::new(),
+            state: watch::Sender::new(State::Working),
+            siblings,
+            _system: AbortOnDropHandle::new(running),
+        }
     });
     Ok(link)
 }
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     convert::{read_answer, read_outlook, write_request},
-    link::Links,
+    link::{Link, Links},
     server::{owned, serve_body, serve_peers},
 };
