--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod cases;
 mod clocks;
 mod configuration;
+mod cut_answers;
 mod endless;
 mod loads;
 mod logs;
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -13,6 +13,7 @@
 use crate::flood::{Flood, Proxy};
 use crate::http::{Answer, Http};
 use crate::relay::Relay;
+use crate::script::{self, Action};
 use crate::server::Server;
 use crate::upstream::Shape;
 use crate::{platform, upstream};
@@ -131,6 +132,25 @@
         proxy
     }
 
+    /// Like [`Environment::add_reporting`], with a proxy between the daemon and its server that
+    /// follows a script.
+    ///
+    /// # Panics
+    /// One of them can't be started.
+    pub async fn add_scripted(
+        &mut self,
+        name: &str,
+        zone: &str,
+        service: &str,
+        choose: impl Fn(usize, &str) -> Action + Send + Sync + 'static,
+    ) -> script::Proxy {
+        let any = ([127, 0, 0, 1], 0).into();
+        let server = Server::start(any, service, zone, RUN).await.expect("a free port");
+        let proxy = script::Proxy::start(server.address, choose).await.expect("a free port");
+        self.attach(name, zone, service, server, proxy.address);
+        proxy
+    }
+
     /// Starts the daemon beside a server, which it reaches at `address`.
     fn attach(
         &mut self,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod platform;
 pub mod relay;
+pub mod script;
 pub mod server;
 pub mod shapes;
 pub mod upstream;
