--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cactushold_attempt::Kind;
 use cactushold_lease::{Fence, SliceId, Time};
+use cactushold_placement::hash_key;
 use cactushold_platform::http as told;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 
 use crate::exchange::{Refusal, Reply, Request, Rest};
 use crate::guard::Permit;
-use crate::upstream::pool::{Connection, Failure, Pool};
+use crate::upstream::pool::{Connection, Failure, Identity, Pool};
 use crate::{clock, metric};
 
 /// Answers up to this size travel in one message.
@@ -165,8 +166,10 @@
         request: &Request,
     ) -> Result<(hyper::Response<Incoming>, Connection), Refusal> {
         let deadline = clock::instant(request.deadline);
-        let sending = tokio::time::timeout_at(deadline, self.pool.send(outgoing)).await;
-        let (response, connection) = match sending {
+        let identity = self.identity(request);
+        let sending = self.pool.send(outgoing, Some(identity));
+        let sending = tokio::time::timeout_at(deadline, sending).await;
+        let (response, mut connection) = match sending {
             Ok(Ok(answered)) => answered,
             Ok(Err(Failure::NotSent(detail))) => {
                 return Err(Refusal::new(Kind::Unreachable).with_detail(detail));
@@ -188,7 +191,9 @@
         match check {
             // An answer that declares that the request did not run leaves the connection good.
             Err(refusal) if refusal.kind.ran() == cactushold_attempt::Ran::No => {
-                self.finish_declined(response, connection).await;
+                if connection.note_refusal(identity) {
+                    self.finish_declined(response, connection).await;
+                }
                 Err(refusal)
             }
             Err(refusal) => Err(refusal),
@@ -196,6 +201,15 @@
         }
     }
 
+    /// What all attempts of a request have in common.
+    fn identity(&self, request: &Request) -> Identity {
+        let named = request.headers.get(told::ATTEMPT);
+        match (self.dialect, named) {
+            (Dialect::Reporting, Some(name)) => hash_key(name.as_bytes()),
+            _ => request.attempt,
+        }
+    }
+
     async fn finish_declined(&self, response: hyper::Response<Incoming>, connection: Connection) {
         let mut connection = connection;
         let is_reusable = connection.note(response.headers());
@@ -266,7 +280,7 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
-        let sending = tokio::time::timeout(GRANT, self.pool.send(request)).await;
+        let sending = tokio::time::timeout(GRANT, self.pool.send(request, None)).await;
         let sent = sending.map_err(|_| {
             self.renew_connections();
             "no answer".to_owned()
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -30,6 +30,11 @@
 const READY: Duration = Duration::from_millis(5);
 /// Largest head of an answer, and most that is read at a time, in bytes.
 const MAX_HEAD: usize = 64 << 10;
+/// Refusals on a connection after which it isn't reused: it has to remember each of them.
+const MAX_REFUSALS: usize = 256;
+
+/// Tells the attempts of one request from those of others.
+pub type Identity = u64;
 
 type Sender = SendRequest<Full<Bytes>>;
 
@@ -39,6 +44,9 @@
     interim: Interim,
     task: AbortHandle,
     idle: Duration,
+    /// Requests that were refused unrun. The upstream may write such a refusal again, which would
+    /// look like the answer to the request's next attempt.
+    refused: Vec<Identity>,
 }
 
 impl Drop for Connection {
@@ -72,16 +80,17 @@
         Rc::new(Pool { address, idle: RefCell::default() })
     }
 
-    /// Sends a request over an idle connection or a new one. The connection lives as long as the
-    /// returned value.
+    /// Sends a request over a new connection or an idle one on which it wasn't refused before. The
+    /// connection lives as long as the returned value.
     ///
     /// # Errors
     /// No answer came; tells whether the request was sent.
     pub async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
+        identity: Option<Identity>,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
-        while let Some(mut connection) = self.take_idle().await {
+        while let Some(mut connection) = self.take_idle(identity).await {
             match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -101,9 +110,9 @@
         }
     }
 
-    async fn take_idle(&self) -> Option<Connection> {
+    async fn take_idle(&self, identity: Option<Identity>) -> Option<Connection> {
         loop {
-            let Idle { mut connection, until } = self.idle.borrow_mut().pop()?;
+            let Idle { mut connection, until } = self.newest_idle(identity)?;
             if clock::now() >= until || connection.sender.is_closed() {
                 continue;
             }
@@ -114,6 +123,13 @@
         }
     }
 
+    fn newest_idle(&self, identity: Option<Identity>) -> Option<Idle> {
+        let mut idle = self.idle.borrow_mut();
+        let may_carry = |idle: &Idle| identity.is_none_or(|id| !idle.connection.has_refused(id));
+        let at = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(at))
+    }
+
     async fn dial(&self) -> Result<Connection, Failure> {
         let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await;
         let stream = match connecting {
@@ -129,7 +145,13 @@
             handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
         // How a connection ends is seen by whoever waits for an answer on it.
         let task = tokio::task::spawn_local(async move { connection.await.ok() });
-        Ok(Connection { sender, interim, task: task.abort_handle(), idle: IDLE })
+        Ok(Connection {
+            sender,
+            interim,
+            task: task.abort_handle(),
+            idle: IDLE,
+            refused: Vec::new(),
+        })
     }
 
     /// Keeps a connection whose answer was read to its end.
@@ -157,6 +179,16 @@
         self.sender.try_send_request(request).await
     }
 
+    /// Notes that a request was refused unrun; whether the connection may be used again.
+    pub fn note_refusal(&mut self, identity: Identity) -> bool {
+        self.refused.push(identity);
+        self.refused.len() < MAX_REFUSALS
+    }
+
+    fn has_refused(&self, identity: Identity) -> bool {
+        self.refused.contains(&identity)
+    }
+
     /// Takes up what an answer says about the connection; whether it may be used again.
     pub fn note(&mut self, headers: &HeaderMap) -> bool {
         let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
--- /dev/null
+++ b/crates/daemon/tests/platform/kept_connections.rs
@@ -0,0 +1,186 @@
+//! Servers that write an earlier answer once more on a kept connection.
+
+use std::collections::HashSet;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use cactushold_standin::environment::Environment;
+use cactushold_standin::http::Answer;
+use cactushold_standin::script::{Action, Proxy};
+use serde_json::{Value, json};
+
+use crate::cases::{Ask, ask_as, runs, until};
+
+/// Requests of each kind, one after the other.
+const REQUESTS: usize = 8;
+/// Time of a run, so that a repeated answer comes in its middle.
+const RUN: Duration = Duration::from_millis(30);
+/// Statuses that tell a caller that its request did not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Position of the key in requests that need its holder.
+const POSITION: u16 = 7;
+
+fn config() -> Value {
+    let rule = |prefix: &str, service: &str| {
+        json!({
+            "name": prefix, "kind": "non_idempotent", "goal": "300ms", "priority": 1,
+            "public": true, "match": { "prefix": prefix },
+            "action": { "service": service, "timeout": "2s", "max_attempts": 4 },
+        })
+    };
+    json!({
+        "version": "00000001",
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "header_timeout": "3s", "idle_timeout": "15s",
+        },
+        "listeners": [{
+            "host": "words.example",
+            "rules": [rule("/plain/", "plain"), rule("/keyed/", "keyed")],
+        }],
+        "clusters": [
+            { "name": "plain", "max_conns": 100 },
+            { "name": "keyed", "max_conns": 100, "sharded": true },
+        ],
+    })
+}
+
+/// The scripts of the servers, by the last part of a request's path.
+#[derive(Default)]
+struct Script {
+    /// Requests that were refused, with the number of their connection.
+    refused: Mutex<HashSet<(usize, String)>>,
+}
+
+impl Script {
+    fn choose(&self, connection: usize, request: &str) -> Action {
+        let path = request.split(' ').nth(1).unwrap_or_default();
+        let attempt = request.lines().find_map(|line| line.strip_prefix("attempt-id: "));
+        let Some(attempt) = attempt else { return Action::Pass };
+        match path.rsplit('/').next() {
+            Some("refused-twice") => self.refuse_twice(connection, attempt),
+            Some("keep") => Action::Answer(sealed(attempt)),
+            Some("behind-an-answer") => Action::Precede(sealed("another")),
+            Some("behind-a-refusal") => Action::Precede(refusal("another", 503)),
+            Some("behind-an-answer-without-id") => {
+                let answer = String::from_utf8(sealed("")).expect("text");
+                Action::Precede(answer.replace("attempt-id: \r\n", "").into())
+            }
+            Some("behind-a-refusal-without-id") => Action::Precede(
+                b"HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".into(),
+            ),
+            _ => Action::Pass,
+        }
+    }
+
+    /// Refuses a request, and writes that again before the answer to its next attempt.
+    fn refuse_twice(&self, connection: usize, attempt: &str) -> Action {
+        let mut refused = self.refused.lock().expect("no holder panics");
+        let status = if attempt.starts_with("keyed") { 421 } else { 503 };
+        if refused.contains(&(connection, attempt.to_owned())) {
+            return Action::Precede(refusal(attempt, status));
+        }
+        if refused.iter().any(|(_, known)| known == attempt) {
+            return Action::Pass;
+        }
+        refused.insert((connection, attempt.to_owned()));
+        Action::Answer(refusal(attempt, status))
+    }
+}
+
+fn refusal(attempt: &str, status: u16) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 {status} Refused\r\nattempt-id: {attempt}\r\nnot-run: 1\r\n\
+         content-length: 0\r\n\r\n"
+    )
+    .into()
+}
+
+fn sealed(attempt: &str) -> Vec<u8> {
+    format!(
+        "HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nreply-seal: s\r\ncontent-length: 4\r\n\r\nabcd"
+    )
+    .into()
+}
+
+struct Deployment {
+    environment: Environment,
+    _proxies: Vec<Proxy>,
+}
+
+impl Deployment {
+    async fn start() -> Deployment {
+        let mut environment = Environment::new().await;
+        environment.store("config", "main", &config()).await;
+        let mut proxies = Vec::new();
+        for service in ["plain", "keyed"] {
+            let script = Script::default();
+            let choose = move |connection, request: &str| script.choose(connection, request);
+            proxies.push(environment.add_scripted(service, "a", service, choose).await);
+        }
+        let deployment = Deployment { environment, _proxies: proxies };
+        for path in ["/plain/x", "/keyed/x"] {
+            until("served", async || {
+                deployment.ask(path, "first").await.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+        }
+        for daemon in &deployment.environment.daemons {
+            daemon.server.as_ref().expect("a server that reports").set_run(RUN);
+        }
+        deployment
+    }
+
+    async fn ask(&self, path: &str, attempt: &str) -> Result<Answer, String> {
+        let host = "words.example";
+        let position = path.starts_with("/keyed/").then_some(POSITION);
+        let request = Ask { method: "POST", host, path, key: None, position };
+        ask_as(&self.environment, 0, request, attempt).await
+    }
+
+    /// Asserts that a request ran once at most, and not at all if its caller was told so.
+    fn assert_true(&self, attempt: &str, answer: &Result<Answer, String>) {
+        let runs = runs(&self.environment).get(attempt).copied().unwrap_or_default();
+        let told = answer.as_ref().map(|answer| (answer.status.as_u16(), answer.body.clone()));
+        assert!(runs <= 1, "{attempt}: TWICE: ran {runs} times, told {told:?}");
+        let is_refused = told.as_ref().is_ok_and(|(status, _)| NOT_RUN.contains(status));
+        assert!(!is_refused || runs == 0, "{attempt}: REFUSED: ran {runs} times, told {told:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
+    let deployment = Deployment::start().await;
+    for service in ["plain", "keyed"] {
+        let mut answered = 0;
+        for at in 0..REQUESTS {
+            let (path, attempt) = (format!("/{service}/refused-twice"), format!("{service}-{at}"));
+            let answer = deployment.ask(&path, &attempt).await;
+            deployment.assert_true(&attempt, &answer);
+            answered += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+        }
+        assert!(answered > 0, "{service}: no next attempt was answered");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_an_earlier_request_is_not_given_to_the_next_one() {
+    let deployment = Deployment::start().await;
+    for name in [
+        "behind-an-answer",
+        "behind-a-refusal",
+        "behind-an-answer-without-id",
+        "behind-a-refusal-without-id",
+    ] {
+        for at in 0..REQUESTS {
+            let attempt = format!("{name}-{at}");
+            let kept = deployment.ask("/plain/keep", &format!("keep-{attempt}")).await;
+            assert_eq!(kept.expect("an answer").status, 200);
+            let answer = deployment.ask(&format!("/plain/{name}"), &attempt).await;
+            deployment.assert_true(&attempt, &answer);
+            assert_eq!(answer.expect("an answer").status, 502, "{attempt}");
+        }
+    }
+    let answer = deployment.ask("/plain/x", "afterwards").await.expect("an answer");
+    assert_eq!(answer.status, 200, "the server is used again: {answer:?}");
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod cut_answers;
 mod endless;
+mod kept_connections;
 mod loads;
 mod logs;
 mod ownership;
