--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -27,6 +27,8 @@
 
 /// Answers up to this size travel in one message.
 const INLINE_BYTES: usize = 64 << 10;
+/// Header that names an attempt; an answer may repeat it.
+const ATTEMPT: &str = "cactushold-attempt";
 /// Deadline of a grant or revocation.
 const GRANT: Duration = Duration::from_secs(1);
 
@@ -185,8 +187,8 @@
             }
         };
         let check = match self.dialect {
-            Dialect::Ordered => check_ordered(&response),
-            Dialect::Reporting => check_reporting(&response, request),
+            Dialect::Ordered => check_ordered(&response, request, &mut connection),
+            Dialect::Reporting => check_reporting(&response, request, &mut connection),
         };
         match check {
             // An answer that declares that the request did not run leaves the connection good.
@@ -240,7 +242,7 @@
             }
         };
         set("host", self.address.to_string());
-        set("cactushold-attempt", format!("{:016x}", request.attempt));
+        set(ATTEMPT, name(request));
         set("cactushold-workspace", request.workspace.clone());
         set("cactushold-expires", expires.as_millis().to_string());
         if let Some((slice, fence)) = fence {
@@ -360,8 +362,23 @@
     Ok(outgoing)
 }
 
-/// Whether an upstream that knows this system's headers ran the request.
-fn check_ordered(response: &hyper::Response<Incoming>) -> Result<(), Refusal> {
+/// The attempt as upstreams are told it.
+fn name(request: &Request) -> String {
+    format!("{:016x}", request.attempt)
+}
+
+/// Whether an upstream that knows this system's headers ran the request, and whether the answer
+/// belongs to it as far as that is told.
+fn check_ordered(
+    response: &hyper::Response<Incoming>,
+    request: &Request,
+    connection: &mut Connection,
+) -> Result<(), Refusal> {
+    let named = response.headers().get(ATTEMPT);
+    let is_other = named.is_some_and(|named| *named != name(request));
+    if is_other || !connection.note_name(named.is_some()) {
+        return Err(another_answer());
+    }
     let Some(reason) = response.headers().get("cactushold-not-run") else { return Ok(()) };
     let reason = reason.to_str().unwrap_or_default();
     let kind = match reason {
@@ -373,10 +390,15 @@
 }
 
 /// Whether a reporting upstream ran the request, and whether the answer belongs to it.
-fn check_reporting(response: &hyper::Response<Incoming>, request: &Request) -> Result<(), Refusal> {
+fn check_reporting(
+    response: &hyper::Response<Incoming>,
+    request: &Request,
+    connection: &mut Connection,
+) -> Result<(), Refusal> {
     let (status, headers) = (response.status().as_u16(), response.headers());
-    if headers.get(told::ATTEMPT) != request.headers.get(told::ATTEMPT) {
-        return Err(Refusal::sent(Kind::BadAnswer).with_detail("an answer to another request"));
+    let named = headers.get(told::ATTEMPT);
+    if named != request.headers.get(told::ATTEMPT) || !connection.note_name(named.is_some()) {
+        return Err(another_answer());
     }
     if told::is_not_run(status, headers) {
         let kind = match status {
@@ -395,6 +417,10 @@
     Ok(())
 }
 
+fn another_answer() -> Refusal {
+    Refusal::sent(Kind::BadAnswer).with_detail("an answer to another request")
+}
+
 /// Removes what only this system says to upstreams.
 pub fn strip_forwarded(headers: &mut HeaderMap) {
     for name in told::OWN {
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -47,6 +47,8 @@
     /// Requests that were refused unrun. The upstream may write such a refusal again, which would
     /// look like the answer to the request's next attempt.
     refused: Vec<Identity>,
+    /// Whether an answer named its attempt; then all have to.
+    has_named: bool,
 }
 
 impl Drop for Connection {
@@ -145,13 +147,9 @@
             handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
         // How a connection ends is seen by whoever waits for an answer on it.
         let task = tokio::task::spawn_local(async move { connection.await.ok() });
-        Ok(Connection {
-            sender,
-            interim,
-            task: task.abort_handle(),
-            idle: IDLE,
-            refused: Vec::new(),
-        })
+        let task = task.abort_handle();
+        let (refused, has_named) = (Vec::new(), false);
+        Ok(Connection { sender, interim, task, idle: IDLE, refused, has_named })
     }
 
     /// Keeps a connection whose answer was read to its end.
@@ -179,10 +177,19 @@
         self.sender.try_send_request(request).await
     }
 
-    /// Notes that a request was refused unrun; whether the connection may be used again.
+    /// Notes whether an answer names the attempt that it belongs to; whether one like it may come
+    /// here.
+    pub fn note_name(&mut self, is_named: bool) -> bool {
+        let is_expected = is_named || !self.has_named;
+        self.has_named |= is_named;
+        is_expected
+    }
+
+    /// Notes that a request was refused unrun; whether the connection may be used again. Where
+    /// answers name no attempt, that refusal could be taken for one of any later request.
     pub fn note_refusal(&mut self, identity: Identity) -> bool {
         self.refused.push(identity);
-        self.refused.len() < MAX_REFUSALS
+        self.has_named && self.refused.len() < MAX_REFUSALS
     }
 
     fn has_refused(&self, identity: Identity) -> bool {
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -103,6 +103,27 @@
         self.daemons.len() - 1
     }
 
+    /// Like [`Environment::add`], with a proxy between the daemon and its upstream that follows a
+    /// script.
+    ///
+    /// # Panics
+    /// One of them can't be started.
+    pub async fn add_scripted_upstream(
+        &mut self,
+        name: &str,
+        zone: &str,
+        service: &str,
+        shape: Shape,
+        choose: impl Fn(usize, &str) -> Action + Send + Sync + 'static,
+    ) -> script::Proxy {
+        let any = ([127, 0, 0, 1], 0).into();
+        let (upstream, _) = upstream::start(any, shape).await.expect("a free port");
+        let proxy = script::Proxy::start(upstream, choose).await.expect("a free port");
+        let daemon = self.spawn(name, zone, service, proxy.address, None, "");
+        self.daemons.push(daemon);
+        proxy
+    }
+
     /// Starts a server that reports its liveness and the daemon beside it; returns its index.
     ///
     /// # Panics
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -48,6 +48,8 @@
     pub truncate: u32,
     /// Falls back into a cold start.
     pub chill: bool,
+    /// Answers don't repeat the attempt that they belong to.
+    pub hide_attempts: bool,
 }
 
 /// One run in the log.
@@ -226,6 +228,15 @@
 
 #[handler]
 async fn serve(request: &Request, body: Body, upstream: Data<&Upstream>) -> Response {
+    let mut response = run(request, body, &upstream).await;
+    let attempt = request.headers().get("cactushold-attempt").cloned();
+    if let Some(attempt) = attempt.filter(|_| !upstream.with(|state| state.faults.hide_attempts)) {
+        response.headers_mut().insert("cactushold-attempt", attempt);
+    }
+    response
+}
+
+async fn run(request: &Request, body: Body, upstream: &Upstream) -> Response {
     while upstream.with(|state| state.faults.freeze) {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
@@ -243,7 +254,7 @@
     if upstream.with(|state| take(&mut state.faults.lose_answers)) {
         std::future::pending::<()>().await;
     }
-    answer(request, &body, &upstream)
+    answer(request, &body, upstream)
 }
 
 fn take(count: &mut u32) -> bool {
