--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use cactushold_attempt::Kind;
 use cactushold_lease::{Fence, SliceId, Time};
+use cactushold_placement::hash_key;
 use cactushold_platform::http as told;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -21,11 +22,13 @@
 
 use crate::exchange::{Refusal, Reply, Request, Rest};
 use crate::guard::Permit;
-use crate::upstream::pool::{Connection, Failure, Pool};
+use crate::upstream::pool::{Connection, Failure, Identity, Pool};
 use crate::{clock, metric};
 
 /// Answers up to this size travel in one message.
 const INLINE_BYTES: usize = 64 << 10;
+/// Header that names an attempt; an answer may repeat it.
+const ATTEMPT: &str = "cactushold-attempt";
 /// Deadline of a grant or revocation.
 const GRANT: Duration = Duration::from_secs(1);
 
@@ -165,8 +168,10 @@
         request: &Request,
     ) -> Result<(hyper::Response<Incoming>, Connection), Refusal> {
         let deadline = clock::instant(request.deadline);
-        let sending = tokio::time::timeout_at(deadline, self.pool.send(outgoing)).await;
-        let (response, connection) = match sending {
+        let identity = self.identity(request);
+        let sending = self.pool.send(outgoing, Some(identity));
+        let sending = tokio::time::timeout_at(deadline, sending).await;
+        let (response, mut connection) = match sending {
             Ok(Ok(answered)) => answered,
             Ok(Err(Failure::NotSent(detail))) => {
                 return Err(Refusal::new(Kind::Unreachable).with_detail(detail));
@@ -182,13 +187,15 @@
             }
         };
         let check = match self.dialect {
-            Dialect::Ordered => check_ordered(&response),
-            Dialect::Reporting => check_reporting(&response, request),
+            Dialect::Ordered => check_ordered(&response, request, &mut connection),
+            Dialect::Reporting => check_reporting(&response, request, &mut connection),
         };
         match check {
             // An answer that declares that the request did not run leaves the connection good.
             Err(refusal) if refusal.kind.ran() == cactushold_attempt::Ran::No => {
-                self.finish_declined(response, connection).await;
+                if connection.note_refusal(identity) {
+                    self.finish_declined(response, connection).await;
+                }
                 Err(refusal)
             }
             Err(refusal) => Err(refusal),
@@ -196,6 +203,15 @@
         }
     }
 
+    /// What all attempts of a request have in common.
+    fn identity(&self, request: &Request) -> Identity {
+        let named = request.headers.get(told::ATTEMPT);
+        match (self.dialect, named) {
+            (Dialect::Reporting, Some(name)) => hash_key(name.as_bytes()),
+            _ => request.attempt,
+        }
+    }
+
     async fn finish_declined(&self, response: hyper::Response<Incoming>, connection: Connection) {
         let mut connection = connection;
         let is_reusable = connection.note(response.headers());
@@ -226,7 +242,7 @@
             }
         };
         set("host", self.address.to_string());
-        set("cactushold-attempt", format!("{:016x}", request.attempt));
+        set(ATTEMPT, name(request));
         set("cactushold-workspace", request.workspace.clone());
         set("cactushold-expires", expires.as_millis().to_string());
         if let Some((slice, fence)) = fence {
@@ -266,7 +282,7 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
-        let sending = tokio::time::timeout(GRANT, self.pool.send(request)).await;
+        let sending = tokio::time::timeout(GRANT, self.pool.send(request, None)).await;
         let sent = sending.map_err(|_| {
             self.renew_connections();
             "no answer".to_owned()
@@ -346,8 +362,23 @@
     Ok(outgoing)
 }
 
-/// Whether an upstream that knows this system's headers ran the request.
-fn check_ordered(response: &hyper::Response<Incoming>) -> Result<(), Refusal> {
+/// The attempt as upstreams are told it.
+fn name(request: &Request) -> String {
+    format!("{:016x}", request.attempt)
+}
+
+/// Whether an upstream that knows this system's headers ran the request, and whether the answer
+/// belongs to it as far as that is told.
+fn check_ordered(
+    response: &hyper::Response<Incoming>,
+    request: &Request,
+    connection: &mut Connection,
+) -> Result<(), Refusal> {
+    let named = response.headers().get(ATTEMPT);
+    let is_other = named.is_some_and(|named| *named != name(request));
+    if is_other || !connection.note_name(named.is_some()) {
+        return Err(another_answer());
+    }
     let Some(reason) = response.headers().get("cactushold-not-run") else { return Ok(()) };
     let reason = reason.to_str().unwrap_or_default();
     let kind = match reason {
@@ -359,10 +390,15 @@
 }
 
 /// Whether a reporting upstream ran the request, and whether the answer belongs to it.
-fn check_reporting(response: &hyper::Response<Incoming>, request: &Request) -> Result<(), Refusal> {
+fn check_reporting(
+    response: &hyper::Response<Incoming>,
+    request: &Request,
+    connection: &mut Connection,
+) -> Result<(), Refusal> {
     let (status, headers) = (response.status().as_u16(), response.headers());
-    if headers.get(told::ATTEMPT) != request.headers.get(told::ATTEMPT) {
-        return Err(Refusal::sent(Kind::BadAnswer).with_detail("an answer to another request"));
+    let named = headers.get(told::ATTEMPT);
+    if named != request.headers.get(told::ATTEMPT) || !connection.note_name(named.is_some()) {
+        return Err(another_answer());
     }
     if told::is_not_run(status, headers) {
         let kind = match status {
@@ -381,6 +417,10 @@
     Ok(())
 }
 
+fn another_answer() -> Refusal {
+    Refusal::sent(Kind::BadAnswer).with_detail("an answer to another request")
+}
+
 /// Removes what only this system says to upstreams.
 pub fn strip_forwarded(headers: &mut HeaderMap) {
     for name in told::OWN {
