Take no request that a stop leaves no time for, and answer what still runs at its end

What callers saw: with a grace of 2 s, requests that came late in a planned stop were passed on and their connections closed without an answer, those that may run once among them.

Cause: the daemon took requests for 2.2 s or until 0.9 of the grace, whichever came first, so with a short grace to the very end; a request that was taken kept its own deadline and told it to the server; the process ended at the limit with whatever ran. With any grace, a request whose head or body was completed after the notice was still passed on. Deployments without reports took callers until their slices were handed over, to the end of `limits.drain_ms` if that failed (by reading).

Change: `admission::Shutdown` has the times of a stop. Work is taken for at most half of the time to the limit, so that it has as long to end as it was taken; later requests are refused unrun (503, `Connection: close`) unless their own deadline comes before the limit. Requests that are taken or passed on meanwhile end by the limit, also by what the server is told. What still runs there is answered: 504 if it was sent, 503 if it waited or hadn't arrived. Other daemons' requests are refused by the same time instead of by closing the guard, which a server's next life could open again. The process ends by 0.95 of the grace.

Ruled out, by reading: a new life's report that opens the guard had no effect that callers could see, as unkeyed work is refused by a daemon that is leaving and a new life holds no key. Requests that enter elsewhere are answered by the daemon where they entered (`a_stop_elsewhere_cuts_no_request`, which wasn't run on the code before).

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -4,12 +4,14 @@
 mod pace;
 mod queue;
 mod ramp;
+mod shutdown;
 
 pub use crate::{
     gate::{Arrival, Gate, Load, Visit},
     pace::Pace,
     queue::{Queue, Refusal, Waiting},
     ramp::{Ramp, Signal},
+    shutdown::Shutdown,
 };
 
 /// Identifies a waiting request at its gate.
--- a/crates/daemon/src/control/stop.rs
+++ b/crates/daemon/src/control/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactushold_admission::Shutdown;
 use cactushold_lease::Time;
 
 use crate::clock;
@@ -20,8 +21,10 @@
     pub(super) async fn until_stopped(&self, mut stop: Stop) {
         let signal = stop.wait().await;
         log!(info, Event::Stopping, incarnation = self.id(), signal);
-        let limit = clock::now() + Duration::from_millis(self.shared.settings().limits.drain_ms);
-        self.shared.leave(limit);
+        let grace = Duration::from_millis(self.shared.settings().limits.drain_ms);
+        let shutdown = Shutdown::new(grace, grace, clock::now());
+        let limit = shutdown.limit();
+        self.shared.leave(shutdown);
         self.hand_over(limit).await;
         self.shared.stop.send_replace(true);
         while clock::now() < limit && self.is_busy() {
--- a/crates/daemon/src/fleet/stop.rs
+++ b/crates/daemon/src/fleet/stop.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactushold_lease::Time;
+use cactushold_admission::Shutdown;
 
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -12,9 +12,8 @@
 
 /// How often progress is looked for.
 const POLL: Duration = Duration::from_millis(20);
-/// Part of the grace within which everything ends.
-const PART_OF_GRACE: f64 = 0.9;
-/// Time in which callers and other daemons learn that this one leaves.
+/// Time in which callers and other daemons learn that this one leaves: readiness is asked each
+/// second, and two misses count.
 const NOTICE: Duration = Duration::from_millis(2_200);
 
 impl Fleet {
@@ -22,20 +21,15 @@
     pub(super) async fn until_stopped(self: &Rc<Self>, mut stop: Stop) {
         let signal = stop.wait().await;
         log!(info, Event::Stopping, incarnation = self.id(), signal);
-        let limit = clock::now() + self.shared.bounds().grace.mul_f64(PART_OF_GRACE);
-        self.shared.leave(limit);
+        let shutdown = Shutdown::new(self.shared.bounds().grace, NOTICE, clock::now());
+        self.shared.leave(shutdown);
         // The server beside a machine that is taken away may have ended before.
         tokio::task::spawn_local(Rc::clone(self).look_for_end());
         self.entry_changed.notify_one();
         self.shared.stop_politely.send_replace(true);
-        let notice = clock::now() + NOTICE;
-        while clock::now() < notice.min(limit) {
-            tokio::time::sleep(POLL).await;
-        }
-        // From now on nothing new is taken, neither from callers nor from other daemons.
-        self.shared.guard().close(Time::ZERO);
+        tokio::time::sleep_until(clock::instant(shutdown.closes_at())).await;
         self.shared.stop.send_replace(true);
-        while clock::now() < limit && self.is_busy() {
+        while clock::now() < shutdown.limit() && self.is_busy() {
             tokio::time::sleep(POLL).await;
         }
         self.resign();
--- a/crates/daemon/src/guard/permit.rs
+++ b/crates/daemon/src/guard/permit.rs
@@ -33,18 +33,20 @@
 impl Permit {
     /// Waits for a slot until the deadline. Dropping the future gives the place up.
     pub async fn obtain(shared: &Arc<Shared>, request: &Request) -> Result<Permit, Refusal> {
-        let deadline = request.deadline;
         let entry = shared.guard().enter(request, clock::now())?;
         if let Entry::Waiting(ticket, call) = entry {
             let mut place = Place { shared: Arc::clone(shared), ticket: Some(ticket) };
-            let answer = tokio::time::timeout_at(clock::instant(deadline), call).await;
+            let answer = tokio::select! {
+                answer = call => answer.ok(),
+                () = shared.overdue(request.deadline) => None,
+            };
             match answer {
-                Ok(Ok(Ok(()))) => place.ticket = None,
-                Ok(Ok(Err(refusal))) => {
+                Some(Ok(())) => place.ticket = None,
+                Some(Err(refusal)) => {
                     place.ticket = None;
                     return Err(refusal);
                 }
-                Ok(Err(_)) | Err(_) => return Err(Refusal::new(Kind::Expired)),
+                None => return Err(Refusal::new(Kind::Expired)),
             }
         }
         let signal = Cell::new(Signal::Neutral);
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -22,6 +22,7 @@
 
 /// Runs a request at the upstream, or tells truly that it did not run.
 pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
+    check_open(shared)?;
     check_place(shared, request)?;
     check_outlook(shared, request)?;
     match &request.idempotency_key {
@@ -30,6 +31,14 @@
     }
 }
 
+/// Whether a daemon that is leaving still takes requests from others.
+fn check_open(shared: &Shared) -> Result<(), Refusal> {
+    match shared.shutdown() {
+        Some(shutdown) if clock::now() >= shutdown.closes_at() => Err(Refusal::new(Kind::Draining)),
+        _ => Ok(()),
+    }
+}
+
 /// Whether work of this service may come here at all.
 fn check_place(shared: &Shared, request: &Request) -> Result<(), Refusal> {
     let instance = &shared.instance;
@@ -137,7 +146,10 @@
     }
     let started = now;
     let server = view.server.as_deref();
-    let answer = upstream.send(request, server, slice.zip(fence), expires, permit).await;
+    let answer = tokio::select! {
+        answer = upstream.send(request, server, slice.zip(fence), expires, permit) => answer,
+        () = shared.stop_limit() => Err(Refusal::sent(Kind::TimedOut)),
+    };
     match &answer {
         Ok(reply) => {
             let now = clock::now();
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -91,7 +91,7 @@
                     running.push(attempt(worker, &request, plan.choose()?));
                 }
             }
-            () = tokio::time::sleep_until(clock::instant(request.deadline)) => {
+            () = worker.shared.overdue(request.deadline) => {
                 return Err(plan.late(!running.is_empty()));
             }
         }
@@ -299,6 +299,7 @@
     elsewhere: Option<Time>,
 ) -> (Answer, Option<Outlook>) {
     let shared = &worker.shared;
+    let request = &*shared.bounded(request);
     let view = shared.view();
     if target == view.id {
         let request = Request { elsewhere, ..request.clone() };
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactushold_attempt::Kind;
 use cactushold_platform::http::ATTEMPT;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -121,7 +122,11 @@
 
 async fn handle(worker: &Rc<Worker>, request: hyper::Request<Incoming>) -> Response {
     let visit = Visit::begin(worker, &request);
-    let result = match admit_request(worker, request).await {
+    let admitted = tokio::select! {
+        admitted = admit_request(worker, request) => admitted,
+        () = worker.shared.stop_limit() => Err(Refusal::new(Kind::Draining)),
+    };
+    let result = match admitted {
         Ok(request) => run(worker, request).await,
         Err(refusal) => Err(refusal),
     };
@@ -212,6 +217,18 @@
 }
 
 async fn run(worker: &Rc<Worker>, request: Request) -> Answer {
+    check_time(worker, &request)?;
+    let request = worker.shared.bounded(&request).into_owned();
     rate::spend(worker, &request.workspace, request.deadline).await?;
     attempts::run(worker, request).await
 }
+
+/// Whether a daemon that is leaving can see the request to its end.
+fn check_time(worker: &Worker, request: &Request) -> Result<(), Refusal> {
+    match worker.shared.shutdown() {
+        Some(shutdown) if !shutdown.takes(request.deadline, clock::now()) => {
+            Err(Refusal::new(Kind::Draining))
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -90,6 +90,7 @@
         mut results: peer::ForwardResults,
     ) -> Result<(), capnp::Error> {
         let request = convert::read_request(params.get()?.get_request()?, clock::now())?;
+        let request = self.shared.bounded(&request).into_owned();
         let answer = guard::serve(&self.shared, &self.upstream, &request).await;
         let outlook = self.shared.guard().outlook(request.route, clock::now());
         let out = results.get().init_answer();
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -3,14 +3,14 @@
 //! Lock order: `setup`, `view`, `guard`, `quota`, `scores`, `forecasts`, `hints`. No thread holds two
 //! of them at a time today, and none is held across an await.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{
-    Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard,
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::Duration;
 
+use cactushold_admission::Shutdown;
 use cactushold_attempt::{Forecast, Score};
 use cactushold_config::settings::Instance;
 use cactushold_config::{Config, Router, Settings};
@@ -18,6 +18,8 @@
 use cactushold_platform::Bounds;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::clock;
+use crate::exchange::Request;
 use crate::guard::{Guard, Unsure};
 use crate::quota::Ledger;
 
@@ -134,7 +136,7 @@
     forecasts: Mutex<HashMap<Incarnation, Forecast>>,
     hints: Mutex<BTreeMap<SliceId, Incarnation>>,
     attempts: AtomicU64,
-    leaving: OnceLock<Time>,
+    shutdown: watch::Sender<Option<Shutdown>>,
     open: AtomicUsize,
     /// To the control thread.
     pub commands: mpsc::UnboundedSender<Command>,
@@ -185,7 +187,7 @@
             forecasts: Mutex::default(),
             hints: Mutex::default(),
             attempts: AtomicU64::new(fastrand::u64(..1 << 40) << 20),
-            leaving: OnceLock::new(),
+            shutdown: watch::Sender::new(None),
             open: AtomicUsize::new(0),
             commands,
             stop: watch::Sender::new(false),
@@ -262,17 +264,46 @@
 
     /// Whether the daemon is leaving.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.get().is_some()
+        self.shutdown().is_some()
     }
 
-    /// Marks the daemon as leaving; what runs has to end by `limit`.
-    pub fn leave(&self, limit: Time) {
-        self.leaving.set(limit).ok();
+    /// Marks the daemon as leaving.
+    pub fn leave(&self, shutdown: Shutdown) {
+        self.shutdown.send_replace(Some(shutdown));
     }
 
-    /// When what runs has to end, once the daemon is leaving.
-    pub fn stop_limit(&self) -> Option<Time> {
-        self.leaving.get().copied()
+    /// The times by which it stops, once the daemon is leaving.
+    pub fn shutdown(&self) -> Option<Shutdown> {
+        *self.shutdown.borrow()
+    }
+
+    /// A request as it may be passed on: while the daemon is leaving, it ends by the limit.
+    pub fn bounded<'a>(&self, request: &'a Request) -> Cow<'a, Request> {
+        match self.shutdown() {
+            Some(shutdown) if shutdown.limit() < request.deadline => {
+                Cow::Owned(Request { deadline: shutdown.limit(), ..request.clone() })
+            }
+            _ => Cow::Borrowed(request),
+        }
+    }
+
+    /// Returns at a deadline, or at the limit of a shutdown if that comes sooner.
+    pub async fn overdue(&self, deadline: Time) {
+        tokio::select! {
+            () = tokio::time::sleep_until(clock::instant(deadline)) => {}
+            () = self.stop_limit() => {}
+        }
+    }
+
+    /// Returns when what still runs has to be answered.
+    pub async fn stop_limit(&self) {
+        let mut shutdown = self.shutdown.subscribe();
+        let began = shutdown.wait_for(Option::is_some).await;
+        let limit = began.ok().and_then(|began| began.map(Shutdown::limit));
+        match limit {
+            Some(limit) => tokio::time::sleep_until(clock::instant(limit)).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Requests of callers that aren't wholly answered.
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactushold_admission::Shutdown;
 use cactushold_attempt::{Budget, Percentile};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -156,13 +157,13 @@
 
 /// Waits for open requests, within the limit for a graceful shutdown.
 async fn finish(shared: &Shared) {
-    let limit = shared.stop_limit().unwrap_or_else(clock::now);
+    let end = shared.shutdown().map_or_else(clock::now, Shutdown::end);
     let idle = async {
         while shared.open_requests() > 0 || shared.guard().busy() > 0 {
             tokio::time::sleep(POLL_STOP).await;
         }
     };
-    tokio::time::timeout_at(clock::instant(limit), idle).await.ok();
+    tokio::time::timeout_at(clock::instant(end), idle).await.ok();
     // Answers that are complete still have to reach their callers.
     tokio::time::sleep(POLL_STOP).await;
 }
--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -84,6 +84,17 @@
 pub async fn deployment_with(limits: &str) -> Environment {
     let mut environment = Environment::new().await;
     environment.extra_settings = limits.to_owned();
+    fill(environment).await
+}
+
+/// The same with a time from SIGTERM to SIGKILL.
+pub async fn deployment_with_grace(grace: Duration) -> Environment {
+    let mut environment = Environment::new().await;
+    environment.grace = grace;
+    fill(environment).await
+}
+
+async fn fill(mut environment: Environment) -> Environment {
     environment.store("config", "main", &config(1)).await;
     for (name, zone, service) in [
         ("lookup-1", "a", "lookup"),
--- /dev/null
+++ b/crates/daemon/tests/platform/grace.rs
@@ -0,0 +1,259 @@
+//! Requests at a daemon that stops, however long its platform lets it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use cactushold_standin::environment::{Environment, PATIENCE};
+use futures::future::join_all;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::cases::{deployment_with_grace, runs, until, until_logged};
+
+/// A time from SIGTERM to SIGKILL that leaves little for notice.
+const SHORT: Duration = Duration::from_secs(2);
+/// Part of it within which a daemon ends.
+const PART: f64 = 0.95;
+/// Time of a run that doesn't fit into the end of the short grace.
+const RUN: Duration = Duration::from_millis(600);
+/// Time between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(7);
+
+/// A request as a caller writes it.
+fn written(request: &str, attempt: &str, body: &str) -> String {
+    let length = match body.len() {
+        0 => String::new(),
+        length => format!("content-length: {length}\r\n"),
+    };
+    format!(
+        "{request} HTTP/1.1\r\nhost: words.example\r\nx-api-key: key-of-club\r\n\
+         attempt-id: {attempt}\r\ndeadline-ms: 20000\r\n{length}\r\n{body}"
+    )
+}
+
+fn ruling(attempt: &str) -> String {
+    written("POST /ruling/r", attempt, "hi")
+}
+
+fn lookup(attempt: &str, position: u16) -> String {
+    written("GET /lookup/w", attempt, "").replacen(
+        "attempt-id",
+        &format!("shard-key: {position}\r\nattempt-id"),
+        1,
+    )
+}
+
+/// A whole answer.
+struct Answer {
+    status: u16,
+    closes: bool,
+    head: String,
+}
+
+/// Reads the next answer with a known length; nothing if the connection ends before its end.
+async fn read_answer(stream: &mut TcpStream) -> Option<Answer> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let value = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
+    let length: usize = value("content-length: ")?.parse().ok()?;
+    stream.read_exact(&mut vec![0; length]).await.ok()?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer { status, closes: value("connection: ") == Some("close"), head })
+}
+
+/// How a caller uses its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Habit {
+    /// One for each request.
+    New,
+    /// One for as long as it lasts.
+    Kept,
+    /// The same, with two requests sent at a time.
+    Pipelined,
+}
+
+/// Statuses by identity of the request; nothing where the connection ended without an answer.
+type Seen = BTreeMap<String, Option<u16>>;
+
+/// Asks until nothing listens any more, or until `ended`.
+async fn call(address: SocketAddr, habit: Habit, name: String, ended: Arc<AtomicBool>) -> Seen {
+    let (mut seen, mut stream) = (Seen::new(), None);
+    for count in 0.. {
+        if ended.load(Ordering::Relaxed) {
+            break;
+        }
+        let mut open = match stream.take() {
+            Some(open) => open,
+            None => match TcpStream::connect(address).await {
+                Ok(open) => open,
+                Err(_) => return seen,
+            },
+        };
+        let position = (count * 997 % 65_536) as u16;
+        let mut requests = vec![(format!("{name}-{count}"), position)];
+        if habit == Habit::Pipelined {
+            requests.push((format!("{name}-{count}-behind"), position.wrapping_add(1 << 15)));
+        }
+        let is_keyed = habit == Habit::Pipelined || count % 2 == 0;
+        let text: String = requests
+            .iter()
+            .map(|(attempt, at)| if is_keyed { lookup(attempt, *at) } else { ruling(attempt) })
+            .collect();
+        open.write_all(text.as_bytes()).await.ok();
+        let mut stays = habit != Habit::New;
+        for (attempt, _) in requests {
+            let answer = read_answer(&mut open).await;
+            stays &= answer.as_ref().is_some_and(|answer| !answer.closes);
+            seen.insert(attempt, answer.map(|answer| answer.status));
+        }
+        stream = stays.then_some(open);
+        tokio::time::sleep(PAUSE).await;
+    }
+    seen
+}
+
+/// Asserts that whatever ran was answered, and nothing that was refused.
+fn assert_answered(environment: &Environment, seen: &Seen) {
+    let runs = runs(environment);
+    let has_run = |attempt: &str| runs.contains_key(attempt);
+    let cut: Vec<_> = seen.iter().filter(|(id, seen)| seen.is_none() && has_run(id)).collect();
+    assert!(cut.is_empty(), "{} of {} ran and were cut: {cut:?}", cut.len(), seen.len());
+    let refused = |status: &Option<u16>| status.is_some_and(|status| [429, 503].contains(&status));
+    let broken: Vec<_> = seen.iter().filter(|(id, seen)| refused(seen) && has_run(id)).collect();
+    assert!(broken.is_empty(), "refused and run: {broken:?}");
+    let served = seen.values().filter(|status| **status == Some(200)).count();
+    assert!(served > 20, "{served} of {} were served", seen.len());
+}
+
+fn set_runs(environment: &Environment, run: Duration) {
+    for daemon in &environment.daemons {
+        daemon.server.as_ref().expect("a server that reports").set_run(run);
+    }
+}
+
+/// Stops a daemon while callers ask through `entry` with each habit.
+async fn stop_under_load(environment: &mut Environment, entry: usize, stopped: usize) -> Seen {
+    let address = environment.daemons[entry].callers;
+    let habits = [Habit::New, Habit::Kept, Habit::Pipelined];
+    let callers = habits.into_iter().flat_map(|habit| (0..3).map(move |at| (habit, at)));
+    let ended = Arc::new(AtomicBool::new(false));
+    let callers = callers.map(|(habit, at)| {
+        tokio::spawn(call(address, habit, format!("{habit:?}-{at}"), Arc::clone(&ended)))
+    });
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(RUN).await;
+    let start = Instant::now();
+    environment.daemons[stopped].terminate();
+    until("the daemon stopped", async || environment.daemons[stopped].end().is_some()).await;
+    let took = start.elapsed();
+    assert!(took < environment.grace.mul_f64(PART) + RUN, "it stopped after {took:?}");
+    assert_eq!(environment.daemons[stopped].exit_code(), Some(0));
+    ended.store(true, Ordering::Relaxed);
+    let mut seen = Seen::new();
+    for caller in callers {
+        seen.extend(caller.await.expect("a caller"));
+    }
+    seen
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_comes_late_in_a_stop_is_not_passed_on_and_cut() {
+    let mut environment = deployment_with_grace(SHORT).await;
+    set_runs(&environment, RUN);
+    let seen = stop_under_load(&mut environment, 3, 3).await;
+    assert_answered(&environment, &seen);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_elsewhere_cuts_no_request() {
+    for stopped in [0, 3] {
+        let mut environment = deployment_with_grace(SHORT).await;
+        set_runs(&environment, RUN);
+        let seen = stop_under_load(&mut environment, 4, stopped).await;
+        let cut: Vec<_> = seen.iter().filter(|(_, status)| status.is_none()).collect();
+        assert!(cut.is_empty(), "{cut:?}");
+        assert_answered(&environment, &seen);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_taken_by_a_stopping_daemon_is_given_no_time_beyond_its_end() {
+    let environment = deployment_with_grace(SHORT).await;
+    let start = Instant::now();
+    environment.daemons[3].terminate();
+    until_logged(&environment, 3, "stopping").await;
+    let asks = join_all((0..6).map(async |at| {
+        let mut stream = TcpStream::connect(environment.daemons[3].callers).await.ok()?;
+        let attempt = format!("late-{at}");
+        let text = if at % 2 == 0 { ruling(&attempt) } else { lookup(&attempt, at * 10_000) };
+        stream.write_all(text.as_bytes()).await.ok()?;
+        read_answer(&mut stream).await
+    }));
+    assert!(asks.await.iter().flatten().all(|answer| answer.status == 200 && answer.closes));
+    let servers = environment.daemons.iter().filter_map(|daemon| daemon.server.as_ref());
+    let runs: Vec<_> = servers.flat_map(|server| server.runs()).collect();
+    assert_eq!(runs.len(), 6);
+    for run in runs {
+        let end = run.since + run.left.expect("a time is told") - start;
+        assert!(end < SHORT, "{} may run until {end:?}", run.attempt);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_runs_at_the_end_of_the_grace_is_answered() {
+    let mut environment = deployment_with_grace(SHORT).await;
+    set_runs(&environment, PATIENCE);
+    let mut waiting = Vec::new();
+    for (entry, attempt) in [(3, "passed-on"), (4, "beside"), (4, "elsewhere"), (0, "keyed")] {
+        let stream = TcpStream::connect(environment.daemons[entry].callers).await;
+        let mut stream = stream.expect("connects");
+        let text = if attempt == "keyed" { lookup(attempt, 0) } else { ruling(attempt) };
+        stream.write_all(text.as_bytes()).await.expect("sent");
+        waiting.push((attempt, stream));
+    }
+    until("all run", async || runs(&environment).len() == waiting.len()).await;
+    for stopped in [0, 3, 4] {
+        environment.daemons[stopped].terminate();
+    }
+    for (attempt, mut stream) in waiting {
+        let answer = read_answer(&mut stream).await.map(|answer| answer.status);
+        assert!([Some(502), Some(504)].contains(&answer), "{attempt}: {answer:?}");
+    }
+    until("the daemons stopped", async || {
+        [0, 3, 4].iter().all(|index| environment.daemons[*index].exit_code() == Some(0))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_last_byte_comes_late_in_a_stop_is_refused_unrun() {
+    let environment = deployment_with_grace(SHORT).await;
+    set_runs(&environment, RUN);
+    let (head, body) = (ruling("in-the-head"), ruling("in-the-body"));
+    let mut waiting = Vec::new();
+    for (text, cut) in [(&head, 30), (&body, body.len() - 1)] {
+        let stream = TcpStream::connect(environment.daemons[3].callers).await;
+        let mut stream = stream.expect("connects");
+        stream.write_all(&text.as_bytes()[..cut]).await.expect("sent");
+        waiting.push((&text[cut..], stream));
+    }
+    environment.daemons[3].terminate();
+    until_logged(&environment, 3, "stopping").await;
+    tokio::time::sleep(SHORT.mul_f64(0.7)).await;
+    for (rest, stream) in &mut waiting {
+        stream.write_all(rest.as_bytes()).await.ok();
+    }
+    for (_, mut stream) in waiting {
+        if let Some(answer) = read_answer(&mut stream).await {
+            assert_eq!((answer.status, answer.closes), (503, true), "{}", answer.head);
+        }
+    }
+    let runs = runs(&environment);
+    assert!(runs.is_empty(), "taken too late: {runs:?}");
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod clocks;
 mod configuration;
 mod endless;
+mod grace;
 mod loads;
 mod logs;
 mod ownership;
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -20,9 +20,8 @@
 /// How long the environment waits for something that has to happen.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
-/// Settings of a daemon whose server reports.
-const REPORTS: &str = "[reports]\nlisten = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
-     interval = \"200ms\"\nbounds = [\"hold_max=10s\", \"drain=2s\", \"evac=2s\", \"grace=6s\", \"budget_ratio=0.2\",\n     \"budget_slack=20\"]\n";
+/// Time from SIGTERM to SIGKILL that a daemon beside a server that reports is told at first.
+const GRACE: Duration = Duration::from_secs(6);
 /// Time of a run at a server that reports.
 const RUN: Duration = Duration::from_millis(5);
 
@@ -47,6 +46,8 @@
     pub first_settings: String,
     /// Puts a relay before each daemon.
     pub with_relays: bool,
+    /// Time from SIGTERM to SIGKILL that each daemon beside a server that reports is told.
+    pub grace: Duration,
 }
 
 /// Path of a binary of this workspace, beside the running one.
@@ -86,6 +87,7 @@
             extra_settings: String::new(),
             first_settings: String::new(),
             with_relays: false,
+            grace: GRACE,
         }
     }
 
@@ -140,7 +142,7 @@
         server: Server,
         address: SocketAddr,
     ) -> usize {
-        let mut daemon = self.spawn(name, zone, service, address, None, REPORTS);
+        let mut daemon = self.spawn(name, zone, service, address, None, &self.reports());
         daemon.attach(server);
         self.daemons.push(daemon);
         self.daemons.len() - 1
@@ -209,14 +211,24 @@
         let old = &self.daemons[index];
         let (name, zone, service) = (old.name.clone(), old.zone.clone(), old.service.clone());
         let (upstream, relay) = (old.upstream, old.relay.clone());
-        let reports = if server.is_some() { REPORTS } else { "" };
-        let mut daemon = self.spawn(&name, &zone, &service, upstream, relay, reports);
+        let reports = if server.is_some() { self.reports() } else { String::new() };
+        let mut daemon = self.spawn(&name, &zone, &service, upstream, relay, &reports);
         if let Some(server) = server {
             daemon.attach(server);
         }
         self.daemons[index] = daemon;
     }
 
+    /// Settings of a daemon whose server reports.
+    fn reports(&self) -> String {
+        format!(
+            "[reports]\nlisten = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\ninterval = \"200ms\"\n\
+             bounds = [\"hold_max=10s\", \"drain=2s\", \"evac=2s\", \"grace={}ms\", \
+             \"budget_ratio=0.2\", \"budget_slack=20\"]\n",
+            self.grace.as_millis()
+        )
+    }
+
     fn spawn(
         &self,
         name: &str,
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -51,6 +51,10 @@
     pub request: String,
     /// Names of its headers.
     pub headers: Vec<String>,
+    /// Time that was left to its caller, as it was told.
+    pub left: Option<Duration>,
+    /// When it began.
+    pub since: Instant,
 }
 
 #[derive(Debug)]
@@ -330,6 +334,8 @@
             origin: text("caller-service"),
             request: format!("{} {}", request.method(), request.uri()),
             headers: request.headers().keys().map(|name| name.as_str().to_owned()).collect(),
+            left: text("deadline-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis),
+            since: Instant::now(),
         });
         None
     });
