Reread the settings once their file has stayed unchanged

What operators saw: a settings file that was written in two parts was put in force after the first one, if that is valid by itself (the defaults instead of `[limits]`), until the next look 2 s later.

Cause: the file was read at a signal or a look, whatever its writer was at.

Change: after a signal or a look the file is read once its stamp has stayed the same for 200 ms, and read anew if the stamp differs after the reading. A hangup is obeyed 200 ms later than before.

Remains: a writer that pauses longer within a file.

--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -18,6 +18,10 @@
 /// How often the file is looked at for a change that no signal told; a look is one system call.
 const LOOK: Duration = Duration::from_secs(2);
 
+/// Time for which a file has to stay unchanged before it is read: whoever writes it in parts does so
+/// within some tens of milliseconds.
+const SETTLE: Duration = Duration::from_millis(200);
+
 /// Tells one state of a file from another, without reading it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Stamp {
@@ -54,6 +58,36 @@
     fn is_changed(&self) -> bool {
         Stamp::of(&self.path) != self.stamp
     }
+
+    /// Waits until nobody writes to the file.
+    async fn settle(&mut self) {
+        self.stamp = Stamp::of(&self.path);
+        loop {
+            tokio::time::sleep(SETTLE).await;
+            if !self.is_changed() {
+                return;
+            }
+            self.stamp = Stamp::of(&self.path);
+        }
+    }
+
+    /// Puts a changed file in force; one that is refused changes nothing.
+    async fn reload(&mut self, shared: &Shared) {
+        let read = loop {
+            self.settle().await;
+            let read = read(&self.path);
+            if !self.is_changed() {
+                break read;
+            }
+        };
+        match read.and_then(|settings| apply(settings, shared)) {
+            Ok(outcome) => metric::reloaded(outcome),
+            Err(error) => {
+                log!(warn, Event::SettingsRefused, reason = %error);
+                metric::reloaded(Reload::Refused);
+            }
+        }
+    }
 }
 
 /// Rereads a settings file at each hangup and when it has changed, for as long as the daemon runs.
@@ -67,8 +101,7 @@
                 }
             }
         }
-        source.stamp = Stamp::of(&source.path);
-        reload(&source.path, &shared);
+        source.reload(&shared).await;
     }
 }
 
@@ -86,21 +119,14 @@
     Ok(())
 }
 
-/// Puts a changed file in force; one that is refused changes nothing.
-fn reload(path: &Path, shared: &Shared) {
-    match apply(path, shared) {
-        Ok(outcome) => metric::reloaded(outcome),
-        Err(error) => {
-            log!(warn, Event::SettingsRefused, reason = %error);
-            metric::reloaded(Reload::Refused);
-        }
-    }
+fn read(path: &Path) -> Result<Settings, Error> {
+    check_readable(path)?;
+    Ok(Settings::load(path)?)
 }
 
-fn apply(path: &Path, shared: &Shared) -> Result<Reload, Error> {
-    check_readable(path)?;
+fn apply(settings: Settings, shared: &Shared) -> Result<Reload, Error> {
     let present = shared.settings();
-    let (settings, pending) = present.reloaded(Settings::load(path)?);
+    let (settings, pending) = present.reloaded(settings);
     let bounds = daemon::bounds(&settings)?;
     if !pending.is_empty() {
         log!(warn, Event::RestartNeeded, keys = pending.join(", "));
--- a/crates/daemon/tests/platform/reload.rs
+++ b/crates/daemon/tests/platform/reload.rs
@@ -1,5 +1,8 @@
 //! Settings that change while a daemon runs.
 
+use std::io::Write;
+use std::time::Duration;
+
 use cactushold_standin::environment::Environment;
 use hyper::Method;
 
@@ -69,3 +72,27 @@
     until_logged(&environment, 0, "settings-in-force").await;
     assert!(takes_long_heads(&environment).await);
 }
+
+/// Time between the two parts in which a file is written.
+const BETWEEN: Duration = Duration::from_millis(40);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_file_that_is_written_in_two_parts_is_never_in_force_by_half() {
+    let environment = daemon().await;
+    let daemon = &environment.daemons[0];
+    let text = std::fs::read_to_string(&daemon.settings).expect("settings can be read");
+    let (first, second) = text.split_at(text.find("[limits]").expect("limits"));
+    for _ in 0..5 {
+        std::fs::write(&daemon.settings, first).expect("the first part is written");
+        daemon.hang_up();
+        tokio::time::sleep(BETWEEN).await;
+        let file = std::fs::OpenOptions::new().append(true).open(&daemon.settings);
+        file.expect("a file").write_all(second.as_bytes()).expect("the second part is written");
+        daemon.hang_up();
+        assert!(!takes_long_heads(&environment).await);
+    }
+    until_logged(&environment, 0, "settings-in-force").await;
+    let lines = daemon.log();
+    let changes: Vec<_> = lines.iter().filter(|line| line.contains("\"changed\":true")).collect();
+    assert!(changes.is_empty(), "{changes:?}");
+}
