--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod cut_answers;
 mod endless;
 mod kept_connections;
+mod grace;
 mod loads;
 mod logs;
 mod ownership;
