State a range as released only once its grant is over on the slowest clock

Callers could be answered by two servers for the same key, for some milliseconds: a daemon granted a range, its server reported no more (or the daemon was paused), the range went to another holder by the table, and the daemon stated its release as soon as the grant had run out by its own clock. The server's clock may run up to 2% slow, so that it held the range up to 54 ms longer.

Cause: Holder::is_free compared the grant with its nominal end. Grants last 0.97 of the authority left for just this reason; only the statement of a release didn't wait for the rest.

Change: a granted range is free once the grant's time divided by 0.97 is over, which is when the authority ends.

--- a/crates/ownership/src/holder.rs
+++ b/crates/ownership/src/holder.rs
@@ -83,6 +83,8 @@
     reported: Vec<Hold>,
     granted: Vec<Grant>,
     granted_until: Time,
+    /// When that has run out on the slowest clock.
+    granted_gone: Time,
     /// When everything granted so far, by this process or the one before it, has run out.
     ends: Time,
     /// Whether a report arrived since this process began.
@@ -102,6 +104,7 @@
             reported: Vec::new(),
             granted: Vec::new(),
             granted_until: Time::ZERO,
+            granted_gone: Time::ZERO,
             ends: now + LEASE,
             has_reported: false,
         }
@@ -178,6 +181,7 @@
         let time = left.mul_f64(GRANT_PART).min(longest);
         self.granted = self.grants();
         self.granted_until = now + time;
+        self.granted_gone = now + time.div_f64(GRANT_PART);
         self.ends = self.ends.max(self.authority.until);
         Some((self.granted.clone(), time))
     }
@@ -280,7 +284,7 @@
             return false;
         }
         let is_held = |hold: &Hold| hold.overlaps(first, last);
-        let is_granted = now < self.granted_until
+        let is_granted = now < self.granted_gone
             && self.granted.iter().any(|grant| grant.hold.overlaps(first, last));
         !is_granted && !self.reported.iter().any(is_held)
     }
