Let a server's next life begin although its clock was set back

Cause: Server::order took a life for a later one by `born` alone, so that each report of the next life was a late report of an earlier one.

Change: the order of lives is a pure type of the ownership crate, `Lives`. A life that this process of the daemon never saw begins with its first report if it started later, or if the known one ended (its process refused connections twice), or a lease after the known one's last report: each grant was given in the answer to a report and ends with authority asked for before it, 3 s at the most, also on a clock 2% slow. Replaced lives are remembered, 16 of them, and stay late; only one that was replaced for its silence alone may come back, after the same wait and with a later report. Otherwise the late report of a life that was never seen would shut a paused server out for good.

Ruled out: ordering lives by arrival (late reports of earlier lives would end the living one); by the report's count (the first reports may be lost).

--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Holder, HolderId, Member};
+use cactushold_ownership::{Holder, HolderId, Life, Member};
 use cactushold_platform::{Error, Expected, Key, Object, Pacer, Stored};
 
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::fleet::server::Life;
 use crate::{clock, log};
 
 /// Kind of the entries; each is named after its instance.
@@ -115,22 +114,22 @@
     fn wanted_entry(&self) -> Entry {
         let instance = &self.shared.instance;
         let server = self.server.borrow();
+        let known = server.lives.known();
         Entry {
             zone: instance.zone.clone(),
             service: instance.service.clone(),
             address: self.shared.addresses.advertised,
             admin: self.shared.addresses.admin,
-            life: server.as_ref().map(|server| server.life.clone()),
-            serves: !self.shared.is_leaving()
-                && server.as_ref().is_some_and(|server| server.is_ready),
-            has_ended: server.as_ref().is_some_and(|server| server.has_ended),
+            life: known.map(|known| known.life.clone()),
+            serves: !self.shared.is_leaving() && server.is_ready,
+            has_ended: known.is_some_and(|known| known.has_ended),
             id: None,
         }
     }
 
     /// Stands for a life from now on, if it is still the one that the server lives.
     fn take_up_life(self: &Rc<Self>, id: HolderId, life: Option<&Life>) {
-        let is_current = self.server.borrow().as_ref().map(|server| &server.life) == life;
+        let is_current = self.server.borrow().lives.known().map(|known| &known.life) == life;
         if !is_current || self.id() == id {
             return;
         }
--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -60,7 +60,7 @@
     /// Time until the server's next report is due; nothing if none lives.
     fn report_in(&self, now: Time) -> Option<Duration> {
         let server = self.server.borrow();
-        let live = server.as_ref().filter(|server| !server.has_ended)?;
+        let live = server.lives.live()?;
         Some(self.next_report(live).saturating_sub(now))
     }
 
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -55,7 +55,7 @@
     /// The table in the form that requests are routed by.
     rendered: RefCell<Arc<Rendered>>,
     /// The server beside this daemon, as it last reported.
-    server: RefCell<Option<Server>>,
+    server: RefCell<Server>,
     /// The server's life as a holder of keys, once it is registered.
     holder: RefCell<Option<Holder>>,
     /// Lives of servers beside this daemon that have ended and that the table still names.
--- a/crates/daemon/src/fleet/publish.rs
+++ b/crates/daemon/src/fleet/publish.rs
@@ -7,12 +7,11 @@
     Assignment, Fence, Grant, Incarnation, Peer, Previous, Replica, Slice, SliceId,
     Table as Rendered, Time,
 };
-use cactushold_ownership::{Hold, Holder, Position, Range, Table};
+use cactushold_ownership::{Hold, Holder, Known, Position, Range, Table};
 use cactushold_placement::QUOTA;
 
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::fleet::server::Server;
 use crate::shared::View;
 use crate::{log, metric};
 
@@ -87,7 +86,7 @@
         let buckets = self.held_buckets(now);
         let acquired = buckets.iter().map(|(slice, held)| (*slice, held.since));
         let table = self.table.borrow();
-        let live = server.as_ref().filter(|server| !server.has_ended);
+        let live = server.lives.live();
         let view = View {
             id: self.id(),
             config: Arc::clone(&self.config.borrow()),
@@ -103,9 +102,9 @@
             fresh_at: self.fresh_at.get(),
             leads: self.is_leading(),
             zone_out_at: self.zone_out_at.get(),
-            server: live.map(|server| server.life.server.as_str().into()),
+            server: live.map(|known| known.life.server.as_str().into()),
             silent: self.silent.borrow().clone(),
-            report_due: live.map_or(Time::MAX, |server| self.next_report(server)),
+            report_due: live.map_or(Time::MAX, |known| self.next_report(known)),
             agreed: Some(Arc::clone(&table)),
             ..View::default()
         };
@@ -138,8 +137,8 @@
     }
 
     /// When a server's next report is due.
-    pub(super) fn next_report(&self, server: &Server) -> Time {
-        server.heard + self.shared.bounds().report_interval
+    pub(super) fn next_report(&self, known: &Known) -> Time {
+        known.heard + self.shared.bounds().report_interval
     }
 
     fn tell_transitions(&self, view: &View, now: Time) {
--- a/crates/daemon/src/fleet/reports.rs
+++ b/crates/daemon/src/fleet/reports.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactushold_ownership::{Grant, Hold, Report as Keys};
+use cactushold_ownership::{Arrival, Grant, Hold, Report as Keys};
 use cactushold_platform::report::{
     ALIVE_PATH, Answer, Grant as Row, Hold as RowHold, LEAVE_PATH, READY_PATH, Report,
 };
@@ -24,7 +24,6 @@
 use crate::event::Event;
 use crate::fleet::Fleet;
 use crate::fleet::entry::SECOND_LOOK;
-use crate::fleet::server::{Arrival, Server};
 use crate::{clock, log, worker};
 
 /// Report intervals without a report after which a server is looked for.
@@ -134,11 +133,12 @@
             }
         };
         let now = clock::now();
-        let arrival = Server::order(self.server.borrow().as_ref(), &report);
+        let was_ready = self.server.borrow().is_ready;
+        let arrival = self.server.borrow_mut().take(&report, now);
         match arrival {
             Arrival::Late => return json(Answer::default().write()),
-            Arrival::NewLife => self.begin_life(&report, now),
-            Arrival::Next => self.note_report(&report, now),
+            Arrival::Begins => self.begin_life(&report, now),
+            Arrival::Next => self.note_report(&report, was_ready, now),
         }
         let longest = self.shared.bounds().longest_grant;
         let grants = self
@@ -170,25 +170,17 @@
         holder.as_ref().map_or(Duration::ZERO, |holder| holder.valid_until().saturating_sub(now))
     }
 
-    /// A server was started; the one before it, at the same address, has ended.
+    /// A server was started; the one before it, at the same address, holds nothing any more.
     fn begin_life(self: &Rc<Self>, report: &Report, now: Duration) {
         log!(info, Event::ServerStarted, server = report.server, born = report.born);
         self.end_life();
         *self.holder.borrow_mut() = None;
-        *self.server.borrow_mut() = Some(Server::of(report, now));
         self.shared.guard().start(report.slots, report.cold_left, now);
         self.entry_changed.notify_one();
     }
 
-    fn note_report(self: &Rc<Self>, report: &Report, now: Duration) {
-        let changed = {
-            let mut server = self.server.borrow_mut();
-            let Some(server) = server.as_mut() else { return };
-            let before = server.is_ready;
-            server.update(report, now);
-            before != server.is_ready
-        };
-        if changed {
+    fn note_report(self: &Rc<Self>, report: &Report, was_ready: bool, now: Duration) {
+        if self.server.borrow().is_ready != was_ready {
             log!(info, Event::ServerLeaving, server = report.server);
             self.shared.guard().close(now);
             self.entry_changed.notify_one();
@@ -200,8 +192,9 @@
         let now = clock::now();
         {
             let mut server = self.server.borrow_mut();
-            let known = server.as_mut().filter(|server| server.life.server == id);
-            let Some(server) = known else { return status(StatusCode::OK) };
+            if server.lives.known().is_none_or(|known| known.life.server != id) {
+                return status(StatusCode::OK);
+            }
             server.is_ready = false;
         }
         log!(info, Event::ServerLeaving, server = id);
@@ -226,7 +219,7 @@
         let longest = self.shared.bounds().report_interval.mul_f64(MISSED_REPORTS);
         let is_silent = {
             let server = self.server.borrow();
-            server.as_ref().is_some_and(|server| !server.has_ended && now > server.heard + longest)
+            server.lives.live().is_some_and(|known| now > known.heard + longest)
         };
         if is_silent && now > self.looked_at.get() + longest {
             self.looked_at.set(now);
@@ -238,8 +231,8 @@
     pub(super) async fn look_for_end(self: Rc<Self>) {
         let life = {
             let server = self.server.borrow();
-            let Some(server) = server.as_ref().filter(|server| !server.has_ended) else { return };
-            server.life.clone()
+            let Some(known) = server.lives.live() else { return };
+            known.life.clone()
         };
         let address = self.shared.settings().upstream.address;
         if !refuses(address).await {
@@ -251,9 +244,9 @@
         }
         {
             let mut server = self.server.borrow_mut();
-            let same = server.as_mut().filter(|server| server.life == life && !server.has_ended);
-            let Some(server) = same else { return };
-            server.has_ended = true;
+            if !server.lives.end(&life) {
+                return;
+            }
             server.is_ready = false;
         }
         log!(info, Event::ServerEnded, server = life.server);
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -10,6 +10,7 @@
 mod holder;
 mod leader;
 mod lessor;
+mod lives;
 mod message;
 mod plan;
 mod table;
@@ -19,6 +20,7 @@
     holder::{Grant, Hold, Holder, Release, Report},
     leader::{Leader, Revision},
     lessor::Lessor,
+    lives::{Arrival, Known, Life, Lives},
     message::{Heartbeat, Renewal},
     plan::{Facts, Reports, Server, plan},
     table::{Member, Range, Table},
--- /dev/null
+++ b/crates/ownership/src/lives.rs
@@ -0,0 +1,143 @@
+//! The lives of the servers beside one daemon, and the order of their reports.
+
+use std::collections::VecDeque;
+
+use crate::{LEASE, Time};
+
+/// Earlier lives whose late reports are told apart; more don't start while a report is on its way.
+const EARLIER: usize = 16;
+
+/// One life of a server: its identity and the moment of its start.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Life {
+    /// Start by the server's clock, in Unix milliseconds. That clock may be set back.
+    pub born: u64,
+    /// Identity that the server chose.
+    pub server: String,
+}
+
+/// What a report means for what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// The known life goes on.
+    Next,
+    /// Another life began; the known one, if any, holds nothing any more.
+    Begins,
+    /// It was overtaken by a later one, of this or a later life.
+    Late,
+}
+
+/// The latest known life.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The life.
+    pub life: Life,
+    /// When it last reported.
+    pub heard: Time,
+    /// Whether its process is known to have ended.
+    pub has_ended: bool,
+    seq: u64,
+}
+
+impl Known {
+    /// Whether nothing granted to it can be held: what the answer to its last report granted lasted
+    /// for less than a lease, also on its clock.
+    fn is_over(&self, now: Time) -> bool {
+        self.has_ended || now >= self.heard + LEASE
+    }
+}
+
+/// A life that was replaced.
+#[derive(Clone, Debug)]
+struct Earlier {
+    life: Life,
+    /// Its latest report, if it was replaced for its silence alone: it may be heard again.
+    silent_since: Option<u64>,
+}
+
+/// The lives that reported to one process of a daemon.
+///
+/// A life begins with its first report if it started later than the known one, or if the known one
+/// can't hold anything any more. Reports of earlier lives stay late.
+///
+/// ```
+/// use cactushold_ownership::{Arrival, LEASE, Life, Lives};
+/// use std::time::Duration;
+/// let life = |born, server: &str| Life { born, server: server.to_owned() };
+/// let now = Duration::from_secs(100);
+/// let mut lives = Lives::default();
+/// assert_eq!(lives.arrive(&life(50, "i-1"), 1, now), Arrival::Begins);
+/// assert_eq!(lives.arrive(&life(50, "i-1"), 2, now), Arrival::Next);
+/// // The clock was set back before the next life started.
+/// assert_eq!(lives.arrive(&life(20, "i-2"), 1, now), Arrival::Late);
+/// assert_eq!(lives.arrive(&life(20, "i-2"), 2, now + LEASE), Arrival::Begins);
+/// assert_eq!(lives.arrive(&life(50, "i-1"), 3, now + LEASE), Arrival::Late);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Lives {
+    known: Option<Known>,
+    earlier: VecDeque<Earlier>,
+}
+
+impl Lives {
+    /// Takes up a life's report, unless it is late, and tells what it means.
+    pub fn arrive(&mut self, life: &Life, seq: u64, now: Time) -> Arrival {
+        let arrival = self.order(life, seq, now);
+        match arrival {
+            Arrival::Late => {}
+            Arrival::Next => {
+                if let Some(known) = &mut self.known {
+                    (known.seq, known.heard) = (seq, now);
+                }
+            }
+            Arrival::Begins => {
+                let next = Known { life: life.clone(), heard: now, has_ended: false, seq };
+                if let Some(before) = self.known.replace(next) {
+                    self.retire(before, life);
+                }
+            }
+        }
+        arrival
+    }
+
+    /// The latest known life.
+    pub fn known(&self) -> Option<&Known> {
+        self.known.as_ref()
+    }
+
+    /// The latest known life, unless its process has ended.
+    pub fn live(&self) -> Option<&Known> {
+        self.known().filter(|known| !known.has_ended)
+    }
+
+    /// Notes that a life's process has ended; whether that is news of the known life.
+    pub fn end(&mut self, life: &Life) -> bool {
+        let known = self.known.as_mut().filter(|known| known.life == *life && !known.has_ended);
+        known.map(|known| known.has_ended = true).is_some()
+    }
+
+    fn order(&self, life: &Life, seq: u64, now: Time) -> Arrival {
+        let Some(known) = &self.known else { return Arrival::Begins };
+        if known.life == *life {
+            let is_next = seq > known.seq && !known.has_ended;
+            return if is_next { Arrival::Next } else { Arrival::Late };
+        }
+        let begins = match self.earlier.iter().find(|earlier| earlier.life == *life) {
+            Some(earlier) => {
+                known.is_over(now) && earlier.silent_since.is_some_and(|last| seq > last)
+            }
+            None => life.born > known.life.born || known.is_over(now),
+        };
+        if begins { Arrival::Begins } else { Arrival::Late }
+    }
+
+    /// Remembers a life that `next` replaced.
+    fn retire(&mut self, before: Known, next: &Life) {
+        let has_ended = before.has_ended || next.born > before.life.born;
+        self.earlier.retain(|earlier| earlier.life != *next);
+        self.earlier.truncate(EARLIER - 1);
+        let silent_since = (!has_ended).then_some(before.seq);
+        self.earlier.push_front(Earlier { life: before.life, silent_since });
+    }
+}
--- a/crates/ownership/tests/world/leading.rs
+++ b/crates/ownership/tests/world/leading.rs
@@ -13,6 +13,9 @@
     pub(super) fn notice_end(&mut self, index: usize) {
         let is_dead = !self.servers[index].is_alive;
         let daemon = &mut self.daemons[index];
+        if is_dead && let Some(life) = daemon.lives.live().map(|known| known.life.clone()) {
+            daemon.lives.end(&life);
+        }
         if is_dead && let Some(holder) = &daemon.holder {
             let id = holder.id();
             if !daemon.ended.contains(&id) {
@@ -26,11 +29,12 @@
 
     pub(super) fn register(&mut self, index: usize) {
         let daemon = &self.daemons[index];
-        let (Some(born), None) = (daemon.seen, &daemon.holder) else { return };
+        let (Some(known), None) = (daemon.lives.known(), &daemon.holder) else { return };
+        let life = known.life.clone();
         if !self.store.is_reachable(self.now) {
             return;
         }
-        let id = self.store.register(index, born);
+        let id = self.store.register(index, life);
         let holder = Holder::new(id, SERVICE, Arc::clone(&daemon.table), self.now);
         self.daemons[index].holder = Some(holder);
     }
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Heartbeat, HolderId, LEASE, Table, Time};
+use cactushold_ownership::{Arrival, Heartbeat, HolderId, LEASE, Life, Lives, Report, Table, Time};
 
 use parts::{Daemon, Due, Event, Message, early_releases, leader_of, short};
 use server::Server;
@@ -27,6 +27,13 @@
 const LONGEST_GRANT: Duration = Duration::from_secs(10);
 const SILENCE: Duration = Duration::from_millis(1_300);
 
+/// Start of the first lives.
+const FIRST_BORN: u64 = 1 << 40;
+
+fn life(number: u64, born: u64) -> Life {
+    Life { born, server: number.to_string() }
+}
+
 /// A rule that a faulty implementation leaves out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deviation {
@@ -53,6 +60,8 @@
     deviation: Option<Deviation>,
     daemons: Vec<Daemon>,
     servers: Vec<Server>,
+    /// Lives of servers so far.
+    lives: u64,
     store: Store,
     /// Zone of each daemon that is out.
     zones_out: Vec<bool>,
@@ -74,7 +83,7 @@
             is_alive: true,
             paused_until: Time::ZERO,
             cut_until: Time::ZERO,
-            seen: None,
+            lives: Lives::default(),
             holder: None,
             ended: Vec::new(),
             table: Arc::default(),
@@ -85,7 +94,8 @@
         let mut world = World {
             now: start,
             daemons: (1..=DAEMONS as u64).map(daemon).collect(),
-            servers: (0..DAEMONS).map(|_| Server::new(1, &mut random)).collect(),
+            servers: (0..DAEMONS).map(|_| Server::new(life(0, FIRST_BORN), &mut random)).collect(),
+            lives: DAEMONS as u64,
             store: Store::default(),
             zones_out: vec![false; DAEMONS],
             random,
@@ -203,8 +213,7 @@
             }
             Event::Restart(index) => self.restart(index),
             Event::StartServer(index) => {
-                let born = self.servers[index].born + 1;
-                self.servers[index] = Server::new(born, &mut self.random);
+                self.start_server(index);
             }
         }
         self.check()
@@ -247,6 +256,17 @@
         }
     }
 
+    /// The next life of a server; its clock may have been set back.
+    fn start_server(&mut self, index: usize) {
+        self.lives += 1;
+        let before = self.servers[index].life.born;
+        let born = match self.random.u32(..3) {
+            0 => before - self.random.u64(..FIRST_BORN / 100),
+            _ => before + 1,
+        };
+        self.servers[index] = Server::new(life(self.lives, born), &mut self.random);
+    }
+
     fn kill(&mut self, index: usize) {
         if !self.daemons[index].is_alive {
             return;
@@ -264,7 +284,7 @@
             is_alive: true,
             paused_until: Time::ZERO,
             cut_until: Time::ZERO,
-            seen: None,
+            lives: Lives::default(),
             holder: None,
             ended: Vec::new(),
             table: Arc::default(),
@@ -394,15 +414,6 @@
         if !self.servers[index].is_alive || !self.is_running(index) {
             return;
         }
-        let born = self.servers[index].born;
-        let daemon = &mut self.daemons[index];
-        if daemon.seen != Some(born) {
-            if let Some(holder) = daemon.holder.take() {
-                daemon.ended.push(holder.id());
-            }
-            daemon.seen = Some(born);
-        }
-        let Some(holder) = &mut daemon.holder else { return };
         // Reports can arrive late.
         let late = match self.random.u32(..10) {
             0 => Duration::from_millis(self.random.u64(10..400)),
@@ -410,6 +421,26 @@
         };
         let sent = self.now.saturating_sub(late);
         let report = self.servers[index].report(self.now);
+        let (life, seq) = (self.servers[index].life.clone(), self.servers[index].seq);
+        self.take_report(index, &life, seq, report, sent);
+    }
+
+    /// A daemon takes a report that was sent at `sent`; the answer reaches who still lives.
+    fn take_report(&mut self, index: usize, life: &Life, seq: u64, report: Report, sent: Time) {
+        if !self.is_running(index) {
+            return;
+        }
+        let daemon = &mut self.daemons[index];
+        match daemon.lives.arrive(life, seq, self.now) {
+            Arrival::Late => return,
+            Arrival::Next => {}
+            Arrival::Begins => {
+                if let Some(holder) = daemon.holder.take() {
+                    daemon.ended.push(holder.id());
+                }
+            }
+        }
+        let Some(holder) = &mut daemon.holder else { return };
         let table = Arc::clone(&daemon.table);
         let id = holder.id();
         let Some((mut grants, mut time)) = holder.answer(report, LONGEST_GRANT, self.now) else {
@@ -422,7 +453,7 @@
             grants = server::all_grants(&table, SERVICE, id);
         }
         self.tell(|_| format!("server {index} (life {id}) {time:?} {:?}", short(&grants)));
-        if self.random.u32(..15) != 0 {
+        if self.servers[index].life == *life && self.random.u32(..15) != 0 {
             self.servers[index].take(&grants, sent, time, self.now, &mut self.random);
         }
     }
--- a/crates/ownership/tests/world/parts.rs
+++ b/crates/ownership/tests/world/parts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cactushold_ownership::{
-    Grant, Heartbeat, Holder, HolderId, Leader, Member, Release, Renewal, Table, Time,
+    Grant, Heartbeat, Holder, HolderId, Leader, Lives, Member, Release, Renewal, Table, Time,
 };
 
 use super::SERVICE;
@@ -32,8 +32,8 @@
     pub is_alive: bool,
     pub paused_until: Time,
     pub cut_until: Time,
-    /// Life that the server last reported to this process, by its start.
-    pub seen: Option<u64>,
+    /// Lives that reported to this process.
+    pub lives: Lives,
     pub holder: Option<Holder>,
     pub ended: Vec<HolderId>,
     pub table: Arc<Table>,
--- a/crates/ownership/tests/world/server.rs
+++ b/crates/ownership/tests/world/server.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactushold_ownership::{Grant, Hold, HolderId, Position, Report, Table, Time};
+use cactushold_ownership::{Grant, Hold, HolderId, Life, Position, Report, Table, Time};
 
 /// How much slower a server's clock may run.
 const SLOWEST: f64 = 0.02;
@@ -18,7 +18,9 @@
 /// One life of a server.
 #[derive(Debug)]
 pub struct Server {
-    pub born: u64,
+    pub life: Life,
+    /// Reports so far.
+    pub seq: u64,
     pub is_alive: bool,
     slowness: f64,
     held: Vec<Held>,
@@ -27,9 +29,17 @@
 }
 
 impl Server {
-    pub fn new(born: u64, random: &mut fastrand::Rng) -> Server {
+    pub fn new(life: Life, random: &mut fastrand::Rng) -> Server {
         let slowness = 1.0 + SLOWEST * random.f64();
-        Server { born, is_alive: true, slowness, held: Vec::new(), freed: Vec::new(), fault: None }
+        Server {
+            life,
+            seq: 0,
+            is_alive: true,
+            slowness,
+            held: Vec::new(),
+            freed: Vec::new(),
+            fault: None,
+        }
     }
 
     fn drop_expired(&mut self, now: Time) {
@@ -42,6 +52,7 @@
     }
 
     pub fn report(&mut self, now: Time) -> Report {
+        self.seq += 1;
         self.drop_expired(now);
         let mut freed = std::mem::take(&mut self.freed);
         self.held.retain(|held| {
--- a/crates/ownership/tests/world/store.rs
+++ b/crates/ownership/tests/world/store.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{HolderId, Table, Time};
+use cactushold_ownership::{HolderId, Life, Table, Time};
 
 /// What the writer learns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,7 +28,7 @@
     /// Revision of the table.
     at: u64,
     table: Arc<Table>,
-    entries: BTreeMap<usize, (HolderId, u64)>,
+    entries: BTreeMap<usize, (HolderId, Life)>,
     ended: Vec<HolderId>,
     late: Vec<Late>,
     down_until: Time,
@@ -70,14 +70,14 @@
     }
 
     /// The identity of a life: a known one keeps its own.
-    pub fn register(&mut self, instance: usize, born: u64) -> HolderId {
+    pub fn register(&mut self, instance: usize, life: Life) -> HolderId {
         if let Some((id, known)) = self.entries.get(&instance)
-            && *known == born
+            && *known == life
         {
             return *id;
         }
         self.revision += 1;
-        self.entries.insert(instance, (self.revision, born));
+        self.entries.insert(instance, (self.revision, life));
         self.revision
     }
 
