Conclude nothing from what a leader that stood still hasn't read yet

After a leader had been paused or starved for a second or more, it told its members that up to 64 others were silent, so that their callers were refused; after more than a lease it could plan a table that took ranges from all members but the first whose heartbeat it read.

Cause: the heartbeats that members sent meanwhile lay unread in its socket, and look_for_silence, is_heard and next_table compared the last ones read with a clock that had gone on.

Evidence, tests/leader.rs before the change, 4 of 6 fail: "assertion `left == right` failed: 1.2s, 11, right: []" (members told silent), "4.5s, right: [11, 12, 13, 14]" (ranges moved), the same after each of several pauses, and for a member that was silent before.

Change: 600 ms without a call tell the leader that it stood still; its own heartbeat calls it each 400 ms. For members that it heard until then silence counts from when it runs again; who was silent before stays silent. Who counts as heard so isn't taken for lapsed: lapses are told as before or up to 1.1 s later, never earlier. Members that stay silent while the leader runs are told as before.

Looked at for the same: an election (a daemon that stood still polls peers and reads for 150 ms before it stands; what lies unread is read by then) and look_after_silence (it only has the server's address looked at, which a living server accepts): neither concludes anything from silence alone.

--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -18,6 +18,8 @@
 const WANT_WORD: Duration = Duration::from_millis(4_500);
 /// A member not heard for this long, nearly three heartbeats, counts as silent.
 const SILENT: Duration = Duration::from_millis(1_100);
+/// A leader that wasn't called for this long stood still: its own heartbeat comes each 400 ms.
+const STOOD_STILL: Duration = Duration::from_millis(600);
 /// How often silent members are looked for.
 const LOOK: Duration = Duration::from_millis(50);
 /// Time without newcomers after which the keys of a service are divided among its servers.
@@ -49,6 +51,11 @@
     /// Members not heard lately, as of `looked`.
     silent: Vec<HolderId>,
     looked: Time,
+    /// When it was last called.
+    called: Time,
+    /// Members that were heard when it stood still, and when it ran again: what they sent meanwhile
+    /// may lie unread.
+    unread: BTreeMap<HolderId, Time>,
     balanced: Time,
     /// When the latest table was stored.
     written: Time,
@@ -72,6 +79,8 @@
             ended: BTreeSet::new(),
             silent: Vec::new(),
             looked: Time::ZERO,
+            called: now,
+            unread: BTreeMap::new(),
             balanced: now,
             written: now,
         }
@@ -110,6 +119,7 @@
         table: &Table,
         now: Time,
     ) -> Renewal {
+        self.run(now);
         if let Some(age) = heartbeat.word_age {
             self.lessor.assure(now.saturating_sub(age));
         }
@@ -135,6 +145,21 @@
         }
     }
 
+    /// Notes that it runs. Silence from before counts anew where it stood still.
+    fn run(&mut self, now: Time) {
+        let before = self.called;
+        self.called = before.max(now);
+        if now < before + STOOD_STILL {
+            return;
+        }
+        if before <= self.since + SILENT {
+            self.since = now;
+        }
+        let heard = self.lessor.holders().filter(|id| self.is_heard(*id, before));
+        let heard: Vec<HolderId> = heard.collect();
+        self.unread.extend(heard.into_iter().map(|id| (id, now)));
+    }
+
     /// Works out who is silent, at most once in a while: each heartbeat is answered with it.
     fn look_for_silence(&mut self, table: &Table, now: Time) {
         if now < self.looked + LOOK || now <= self.since + SILENT {
@@ -176,6 +201,7 @@
         self.samples.retain(|id, _| table.members.contains_key(id));
         self.reports.retain(|id, _| table.members.contains_key(id));
         self.lessor.retain(|id| table.members.contains_key(&id));
+        self.unread.retain(|id, _| table.members.contains_key(id));
     }
 
     /// The object wasn't at the expected revision. Holders that an unanswered write took ranges
@@ -193,6 +219,7 @@
         is_zone_in: impl Fn(&str) -> bool,
         now: Time,
     ) -> Option<(Table, Revision)> {
+        self.run(now);
         let revision = self.revision.filter(|_| self.is_listed && self.lessor.is_valid(now))?;
         let mut next = table.clone();
         next.version += 1;
@@ -255,15 +282,19 @@
         let named = |range: &Range| [range.holder, range.earlier];
         let holders = table.services.values().flatten().flat_map(named).filter(|id| *id != 0);
         let is_gone = |id: &HolderId| {
-            !table.members.contains_key(id)
-                || self.ended.contains(id)
-                || self.lessor.has_lapsed(*id, now)
+            !table.members.contains_key(id) || self.ended.contains(id) || self.has_lapsed(*id, now)
         };
         holders.filter(is_gone).collect()
     }
 
     fn is_heard(&self, id: HolderId, now: Time) -> bool {
-        self.lessor.heard(id).is_some_and(|at| now < at + SILENT)
+        let (heard, unread) = (self.lessor.heard(id), self.unread.get(&id).copied());
+        heard.max(unread).is_some_and(|at| now < at + SILENT)
+    }
+
+    /// Whether a member's authority has surely ended and what it sent since was read.
+    fn has_lapsed(&self, id: HolderId, now: Time) -> bool {
+        self.lessor.has_lapsed(id, now) && !self.is_heard(id, now)
     }
 
     /// Servers of a service that may be given ranges.
--- a/crates/ownership/src/lessor.rs
+++ b/crates/ownership/src/lessor.rs
@@ -80,6 +80,11 @@
         self.renewals.get(&holder).map(|renewed| renewed.at)
     }
 
+    /// Holders that renewed here.
+    pub fn holders(&self) -> impl Iterator<Item = HolderId> + '_ {
+        self.renewals.keys().copied()
+    }
+
     /// Whether the holder's authority has surely ended.
     pub fn has_lapsed(&self, holder: HolderId, now: Time) -> bool {
         match self.renewals.get(&holder) {
--- /dev/null
+++ b/crates/ownership/tests/leader.rs
@@ -0,0 +1,163 @@
+//! What a leader concludes from silence, its own included.
+
+use std::time::Duration;
+
+use cactushold_ownership::{Heartbeat, HolderId, LEASE, Leader, Member, Renewal, Table, Time};
+
+const SERVICE: &str = "lookup";
+const START: Time = Duration::from_secs(100);
+const REPORTS: Duration = Duration::from_millis(1_500);
+const HEARTBEAT: Duration = Duration::from_millis(400);
+const TICK: Duration = Duration::from_millis(100);
+const MEMBERS: [HolderId; 4] = [11, 12, 13, 14];
+/// Time in which all keys are divided among the members.
+const BEGIN: Duration = Duration::from_secs(3);
+
+fn member(id: HolderId) -> Member {
+    let address = ([127, 0, 0, 1], 1_000 + id as u16).into();
+    Member {
+        instance: id.to_string(),
+        zone: "a".to_owned(),
+        service: SERVICE.to_owned(),
+        address,
+        admin: address,
+        serves: true,
+    }
+}
+
+/// A leader, its table and its clock.
+struct Session {
+    leader: Leader,
+    table: Table,
+    revision: u64,
+    now: Time,
+}
+
+impl Session {
+    /// A leader of members that hold all keys.
+    fn new() -> Session {
+        let table = Table { version: 1, term: 1, ..Table::default() };
+        let mut leader = Leader::new(START, 1, REPORTS, START);
+        leader.relist();
+        for id in MEMBERS {
+            leader.announce(id, member(id), START);
+        }
+        let mut session = Session { leader, table, revision: 1, now: START };
+        session.run(BEGIN, &MEMBERS);
+        assert_eq!(session.table.services[SERVICE].len(), MEMBERS.len());
+        session
+    }
+
+    fn hear(&mut self, id: HolderId) -> Renewal {
+        let heartbeat = Heartbeat { sent: self.now, term: 1, ..Heartbeat::default() };
+        self.leader.hear(id, heartbeat, &self.table, self.now)
+    }
+
+    /// Stores the next table, if there is one.
+    fn revise(&mut self) {
+        let services = std::iter::once(SERVICE);
+        let next = self.leader.next_table(&self.table, services, |_| true, self.now);
+        if let Some((table, _)) = next {
+            self.revision += 1;
+            self.leader.stored(&table, self.revision, self.now);
+            self.table = table;
+        }
+    }
+
+    /// Runs on while some members send heartbeats; the latest answer.
+    fn run(&mut self, span: Duration, sending: &[HolderId]) -> Renewal {
+        let end = self.now + span;
+        let mut sent = Time::ZERO;
+        let mut latest = Renewal::default();
+        while self.now < end {
+            if self.now >= sent + HEARTBEAT {
+                sent = self.now;
+                for id in sending {
+                    latest = self.hear(*id);
+                }
+            }
+            self.leader.read_back(self.revision, self.now);
+            self.revise();
+            self.now += TICK;
+        }
+        latest
+    }
+
+    fn stand_still(&mut self, span: Duration) {
+        self.now += span;
+    }
+
+    fn holders(&self) -> Vec<HolderId> {
+        self.table.services[SERVICE].iter().map(|range| range.holder).collect()
+    }
+}
+
+/// Pauses within the lease and beyond it.
+const PAUSES: [Duration; 3] =
+    [Duration::from_millis(1_200), Duration::from_millis(1_500), Duration::from_millis(4_500)];
+
+#[test]
+fn a_leader_that_stood_still_tells_nobody_silent() {
+    for pause in PAUSES {
+        let mut session = Session::new();
+        session.stand_still(pause);
+        for id in MEMBERS {
+            assert_eq!(session.hear(id).silent, [], "{pause:?}, {id}");
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_stood_still_moves_no_range() {
+    for pause in PAUSES {
+        let mut session = Session::new();
+        let before = session.holders();
+        session.stand_still(pause);
+        session.leader.read_back(session.revision, session.now);
+        session.hear(MEMBERS[0]);
+        session.revise();
+        session.run(Duration::from_secs(5), &MEMBERS);
+        assert_eq!(session.holders(), before, "{pause:?}");
+    }
+}
+
+#[test]
+fn a_leader_that_stands_still_again_and_again_tells_nobody_silent() {
+    let mut session = Session::new();
+    for round in 0..5 {
+        session.stand_still(Duration::from_millis(900));
+        session.leader.read_back(session.revision, session.now);
+        assert_eq!(session.hear(MEMBERS[0]).silent, [], "{round}");
+        session.revise();
+        session.now += TICK;
+    }
+}
+
+#[test]
+fn a_member_that_stays_silent_is_told_while_the_leader_runs_on() {
+    let mut session = Session::new();
+    let told = session.run(Duration::from_secs(2), &MEMBERS[1..]);
+    assert_eq!(told.silent, MEMBERS[..1]);
+    session.run(LEASE, &MEMBERS[1..]);
+    assert!(!session.holders().contains(&MEMBERS[0]), "{:?}", session.holders());
+}
+
+#[test]
+fn a_member_that_stays_silent_after_the_leader_stood_still_is_told() {
+    for pause in PAUSES {
+        let mut session = Session::new();
+        session.stand_still(pause);
+        let told = session.run(Duration::from_secs(2), &MEMBERS[1..]);
+        assert_eq!(told.silent, MEMBERS[..1], "{pause:?}");
+        session.run(LEASE, &MEMBERS[1..]);
+        assert!(!session.holders().contains(&MEMBERS[0]), "{:?}", session.holders());
+    }
+}
+
+#[test]
+fn a_member_that_was_silent_before_the_leader_stood_still_stays_silent() {
+    let mut session = Session::new();
+    session.run(Duration::from_secs(2), &MEMBERS[1..]);
+    session.stand_still(Duration::from_millis(1_500));
+    assert_eq!(session.hear(MEMBERS[1]).silent, MEMBERS[..1]);
+}
