Keep the entry's life in place while it may hold what a daemon granted before it restarted

A daemon that was just restarted took whichever life reported first for the one that the server lives. A report that was on its way for seconds, of an earlier life, so replaced the living life in the store's entry: the leader took that one for ended and gave its keys to another server while it held them, for up to 3 s. The same without any report for 1.5 intervals after the restart.

Cause: update_entry replaced the entry's life by the one known here, or by none, at once. What earlier processes knew isn't known to a new one.

Change: the entry's life is replaced only by one that started later, by one that this process saw replace it, once its end is known, or a lease after this process's start, when nothing granted by earlier processes lasts any more (Lives::may_replace_at). The living server's next report usually ends the wait.

Not covered, and left out of the search: a clock set back, a daemon that never saw the life from before that, and that life's report late by seconds, all together; the late life then started later by its clock.

Cost: a server that is replaced together with its daemon on a clock set back, or that doesn't come back, stays in its entry for up to 3 s. With a clock that goes on nothing waits.

--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Holder, HolderId, Life, Member};
+use cactushold_ownership::{Holder, HolderId, Life, Member, Time};
 use cactushold_platform::{Error, Expected, Key, Object, Pacer, Stored};
 
 use crate::event::Event;
@@ -97,6 +97,12 @@
                 return Ok(true);
             }
         }
+        if let Some((_, entry)) = &known
+            && let Some(pause) = self.until_replaced(entry, clock::now())
+        {
+            tokio::time::timeout(pause, self.entry_changed.notified()).await.ok();
+            return Ok(false);
+        }
         let same_life = known.filter(|(_, entry)| entry.life == wanted.life);
         let next = Entry { id: same_life.map(|(id, _)| id), ..wanted };
         let expected = found.map_or(Expected::Absent, |object| Expected::At(object.revision));
@@ -111,6 +117,18 @@
         }
     }
 
+    /// Time until the life of an entry that an earlier process wrote holds nothing any more; nothing
+    /// if that is sure.
+    fn until_replaced(&self, entry: &Entry, now: Time) -> Option<Duration> {
+        let announced = entry.life.as_ref().filter(|_| !entry.has_ended)?;
+        let server = self.server.borrow();
+        if server.lives.known().is_some_and(|known| known.life == *announced) {
+            return None;
+        }
+        let at = server.lives.may_replace_at(announced, self.began);
+        at.checked_sub(now).filter(|pause| !pause.is_zero())
+    }
+
     fn wanted_entry(&self) -> Entry {
         let instance = &self.shared.instance;
         let server = self.server.borrow();
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -49,6 +49,8 @@
     platform: Client,
     /// Tells this process from others of the same instance.
     run: u64,
+    /// When this process began.
+    began: Time,
     config: RefCell<Arc<Config>>,
     router: RefCell<Arc<Router>>,
     table: RefCell<Arc<Table>>,
@@ -94,6 +96,7 @@
             socket,
             platform,
             run: fastrand::u64(1..),
+            began: clock::now(),
             config: RefCell::default(),
             router: RefCell::default(),
             table: RefCell::default(),
--- a/crates/daemon/tests/platform/ownership.rs
+++ b/crates/daemon/tests/platform/ownership.rs
@@ -2,34 +2,39 @@
 
 use std::time::Duration;
 
-use serde_json::json;
+use cactushold_standin::environment::Environment;
+use hyper::Method;
+use serde_json::{Value, json};
 
 use crate::cases::{
     ask, assert_sole, deployment, histories, holder, lookup, until, until_held, until_holder,
+    until_logged,
 };
 
 /// A key position that the sessions follow.
 const POSITION: u16 = 30_000;
 
-async fn until_served(environment: &cactushold_standin::environment::Environment, entry: usize) {
+async fn until_served(environment: &Environment, entry: usize) {
     until("the key served", async || {
         ask(environment, entry, lookup(POSITION)).await.is_ok_and(|answer| answer.status == 200)
     })
     .await;
 }
 
+/// What a daemon's server holds: positions and fences.
+fn rows(environment: &Environment, index: usize) -> Vec<(u16, u16, u64)> {
+    let held = environment.daemons[index].server.as_ref().expect("a server").held();
+    held.iter().map(|held| (held.first, held.last, held.fence)).collect()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_restarts_beside_a_living_server_moves_no_key() {
     let mut environment = deployment().await;
     let index = holder(&environment, POSITION).expect("a holder");
-    let before: Vec<_> = environment.daemons[index].server.as_ref().expect("a server").held();
+    let before = rows(&environment, index);
     environment.restart(index);
     until_served(&environment, (index + 1) % 5).await;
-    let after: Vec<_> = environment.daemons[index].server.as_ref().expect("a server").held();
-    let rows = |held: &[cactushold_standin::server::Held]| {
-        held.iter().map(|held| (held.first, held.last, held.fence)).collect::<Vec<_>>()
-    };
-    assert_eq!(rows(&before), rows(&after));
+    assert_eq!(rows(&environment, index), before);
     assert_sole(&histories(&environment));
 }
 
@@ -100,3 +105,38 @@
         assert_eq!(answer.status, 200);
     }
 }
+
+/// Sends a daemon a report of a life that ended before this process of it began.
+async fn send_late_report(environment: &Environment, index: usize) {
+    let line = until_logged(environment, index, "listening-for-reports").await;
+    let line: Value = serde_json::from_str(&line).expect("a line of JSON");
+    let address = line["reports"].as_str().and_then(|text| text.parse().ok());
+    let daemon = &environment.daemons[index];
+    let report = json!({
+        "service": daemon.service, "addr": daemon.upstream.to_string(), "zone": daemon.zone,
+        "version": "v1", "slots": 8, "state": "ready", "cold_left": "0ms", "seq": 9, "born": 1,
+    });
+    let path = "/v1/Instances.Heartbeat/i-before";
+    let address = address.expect("an address for reports");
+    let sent = environment.http.send(Method::POST, address, path, &[], report.to_string()).await;
+    assert_eq!(sent.expect("an answer").status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_report_at_a_daemon_that_restarted_takes_no_key_from_the_living_server() {
+    let mut environment = deployment().await;
+    let index = holder(&environment, POSITION).expect("a holder");
+    let before = rows(&environment, index);
+    environment.restart(index);
+    // The living server's next reports are lost.
+    let server = environment.daemons[index].server.as_ref().expect("a server");
+    let address = server.reports_to().expect("an address for reports");
+    server.report_to(([127, 0, 0, 1], 1).into());
+    send_late_report(&environment, index).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    server.report_to(address);
+    until_held(&environment).await;
+    until_served(&environment, (index + 1) % 5).await;
+    assert_sole(&histories(&environment));
+    assert_eq!(rows(&environment, index), before);
+}
--- a/crates/ownership/src/lives.rs
+++ b/crates/ownership/src/lives.rs
@@ -117,6 +117,29 @@
         known.map(|known| known.has_ended = true).is_some()
     }
 
+    /// When the known life, or nobody, may take the place of the life that an earlier process of
+    /// this daemon announced. That one may live and hold what the earlier process granted, unless
+    /// this process, which began at `began`, saw it replaced or its successor started later.
+    ///
+    /// ```
+    /// use cactushold_ownership::{LEASE, Life, Lives};
+    /// use std::time::Duration;
+    /// let life = |born, server: &str| Life { born, server: server.to_owned() };
+    /// let began = Duration::from_secs(100);
+    /// let mut lives = Lives::default();
+    /// assert_eq!(lives.may_replace_at(&life(50, "i-1"), began), began + LEASE);
+    /// lives.arrive(&life(40, "i-0"), 7, began);
+    /// assert_eq!(lives.may_replace_at(&life(50, "i-1"), began), began + LEASE);
+    /// lives.arrive(&life(50, "i-1"), 3, began);
+    /// lives.arrive(&life(60, "i-2"), 1, began);
+    /// assert_eq!(lives.may_replace_at(&life(50, "i-1"), began), Duration::ZERO);
+    /// ```
+    pub fn may_replace_at(&self, announced: &Life, began: Time) -> Time {
+        let is_later = self.known().is_some_and(|known| known.life.born > announced.born);
+        let was_replaced = self.earlier.iter().any(|earlier| earlier.life == *announced);
+        if is_later || was_replaced { Time::ZERO } else { began + LEASE }
+    }
+
     fn order(&self, life: &Life, seq: u64, now: Time) -> Arrival {
         let Some(known) = &self.known else { return Arrival::Begins };
         if known.life == *life {
--- a/crates/ownership/tests/search.rs
+++ b/crates/ownership/tests/search.rs
@@ -100,3 +100,8 @@
 fn stating_a_release_before_the_server_confirmed_it_is_caught() {
     is_caught(Deviation::EarlyRelease);
 }
+
+#[test]
+fn taking_a_late_report_of_an_earlier_life_for_a_new_one_is_caught() {
+    is_caught(Deviation::AnyLife);
+}
--- a/crates/ownership/tests/world/leading.rs
+++ b/crates/ownership/tests/world/leading.rs
@@ -27,10 +27,22 @@
         }
     }
 
+    /// Whether a life that an earlier process of a daemon announced may still hold something.
+    fn is_announced_life_in_place(&self, index: usize) -> bool {
+        let daemon = &self.daemons[index];
+        let Some((id, announced)) = self.store.announced(index) else { return false };
+        let is_known = daemon.lives.known().is_some_and(|known| known.life == *announced);
+        let may_at = daemon.lives.may_replace_at(announced, daemon.began);
+        !is_known && !self.store.has_ended(id) && self.now < may_at
+    }
+
     pub(super) fn register(&mut self, index: usize) {
         let daemon = &self.daemons[index];
         let (Some(known), None) = (daemon.lives.known(), &daemon.holder) else { return };
         let life = known.life.clone();
+        if self.is_announced_life_in_place(index) {
+            return;
+        }
         if !self.store.is_reachable(self.now) {
             return;
         }
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -6,7 +6,7 @@
 mod store;
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +51,8 @@
     AnyTable,
     /// Releases are stated as soon as the table says so.
     EarlyRelease,
+    /// A report of whichever life but the known one begins that life.
+    AnyLife,
 }
 
 /// Everything in one schedule.
@@ -84,6 +86,8 @@
             paused_until: Time::ZERO,
             cut_until: Time::ZERO,
             lives: Lives::default(),
+            seen: BTreeSet::new(),
+            began: start,
             holder: None,
             ended: Vec::new(),
             table: Arc::default(),
@@ -200,6 +204,14 @@
                 self.after(ROUND, Event::Round(index));
                 self.round(index);
             }
+            Event::LateReport(index, life, seq, report) => {
+                // Not searched: a clock set back, a daemon that never saw the life before, and its
+                // report late by seconds, all at once.
+                let is_later = life.born >= self.servers[index].life.born;
+                if !is_later || self.daemons[index].seen.contains(&life) {
+                    self.take_report(index, &life, seq, report, self.now);
+                }
+            }
             Event::Deliver(to, message) => self.deliver(to, message),
             Event::Store => {
                 self.store.apply_late(self.now);
@@ -285,6 +297,8 @@
             paused_until: Time::ZERO,
             cut_until: Time::ZERO,
             lives: Lives::default(),
+            seen: BTreeSet::new(),
+            began: self.now,
             holder: None,
             ended: Vec::new(),
             table: Arc::default(),
@@ -422,6 +436,11 @@
         let sent = self.now.saturating_sub(late);
         let report = self.servers[index].report(self.now);
         let (life, seq) = (self.servers[index].life.clone(), self.servers[index].seq);
+        if self.random.u32(..20) == 0 {
+            let at = self.now + Duration::from_millis(self.random.u64(500..6_000));
+            self.schedule(at, Event::LateReport(index, life, seq, report));
+            return;
+        }
         self.take_report(index, &life, seq, report, sent);
     }
 
@@ -430,7 +449,12 @@
         if !self.is_running(index) {
             return;
         }
+        let any_life = self.deviates(Deviation::AnyLife);
         let daemon = &mut self.daemons[index];
+        if any_life && daemon.lives.known().is_some_and(|known| known.life != *life) {
+            daemon.lives = Lives::default();
+        }
+        daemon.seen.insert(life.clone());
         match daemon.lives.arrive(life, seq, self.now) {
             Arrival::Late => return,
             Arrival::Next => {}
--- a/crates/ownership/tests/world/parts.rs
+++ b/crates/ownership/tests/world/parts.rs
@@ -1,9 +1,11 @@
 //! What the world is made of: daemons, messages, events in the order of their times.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cactushold_ownership::{
-    Grant, Heartbeat, Holder, HolderId, Leader, Lives, Member, Release, Renewal, Table, Time,
+    Grant, Heartbeat, Holder, HolderId, Leader, Life, Lives, Member, Release, Renewal, Report,
+    Table, Time,
 };
 
 use super::SERVICE;
@@ -18,6 +20,8 @@
 pub enum Event {
     Heartbeat(usize),
     Report(usize),
+    /// A report of a life that reaches a daemon seconds late.
+    LateReport(usize, Life, u64, Report),
     Round(usize),
     Deliver(usize, Message),
     Store,
@@ -34,6 +38,9 @@
     pub cut_until: Time,
     /// Lives that reported to this process.
     pub lives: Lives,
+    /// All of them.
+    pub seen: BTreeSet<Life>,
+    pub began: Time,
     pub holder: Option<Holder>,
     pub ended: Vec<HolderId>,
     pub table: Arc<Table>,
--- a/crates/ownership/tests/world/store.rs
+++ b/crates/ownership/tests/world/store.rs
@@ -60,6 +60,11 @@
         self.entries.iter().map(|(instance, (id, _))| (*instance, *id)).collect()
     }
 
+    /// What an instance announced.
+    pub fn announced(&self, instance: usize) -> Option<(HolderId, &Life)> {
+        self.entries.get(&instance).map(|(id, life)| (*id, life))
+    }
+
     /// A daemon says that a life has ended.
     pub fn end(&mut self, id: HolderId) {
         self.ended.push(id);
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -157,6 +157,11 @@
         self.shared.with(|state| state.reports_to = Some(address));
     }
 
+    /// Where the server reports.
+    pub fn reports_to(&self) -> Option<SocketAddr> {
+        self.shared.with(|state| state.reports_to)
+    }
+
     /// Has the server say that it leaves.
     pub fn drain(&self) {
         self.shared.with(|state| state.is_draining = true);
