--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Holder, HolderId, Member};
+use cactushold_ownership::{Holder, HolderId, Life, Member, Time};
 use cactushold_platform::{Error, Expected, Key, Object, Pacer, Stored};
 
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::fleet::server::Life;
 use crate::{clock, log};
 
 /// Kind of the entries; each is named after its instance.
@@ -98,6 +97,12 @@
                 return Ok(true);
             }
         }
+        if let Some((_, entry)) = &known
+            && let Some(pause) = self.until_replaced(entry, clock::now())
+        {
+            tokio::time::timeout(pause, self.entry_changed.notified()).await.ok();
+            return Ok(false);
+        }
         let same_life = known.filter(|(_, entry)| entry.life == wanted.life);
         let next = Entry { id: same_life.map(|(id, _)| id), ..wanted };
         let expected = found.map_or(Expected::Absent, |object| Expected::At(object.revision));
@@ -112,25 +117,37 @@
         }
     }
 
+    /// Time until the life of an entry that an earlier process wrote holds nothing any more; nothing
+    /// if that is sure.
+    fn until_replaced(&self, entry: &Entry, now: Time) -> Option<Duration> {
+        let announced = entry.life.as_ref().filter(|_| !entry.has_ended)?;
+        let server = self.server.borrow();
+        if server.lives.known().is_some_and(|known| known.life == *announced) {
+            return None;
+        }
+        let at = server.lives.may_replace_at(announced, self.began);
+        at.checked_sub(now).filter(|pause| !pause.is_zero())
+    }
+
     fn wanted_entry(&self) -> Entry {
         let instance = &self.shared.instance;
         let server = self.server.borrow();
+        let known = server.lives.known();
         Entry {
             zone: instance.zone.clone(),
             service: instance.service.clone(),
             address: self.shared.addresses.advertised,
             admin: self.shared.addresses.admin,
-            life: server.as_ref().map(|server| server.life.clone()),
-            serves: !self.shared.is_leaving()
-                && server.as_ref().is_some_and(|server| server.is_ready),
-            has_ended: server.as_ref().is_some_and(|server| server.has_ended),
+            life: known.map(|known| known.life.clone()),
+            serves: !self.shared.is_leaving() && server.is_ready,
+            has_ended: known.is_some_and(|known| known.has_ended),
             id: None,
         }
     }
 
     /// Stands for a life from now on, if it is still the one that the server lives.
     fn take_up_life(self: &Rc<Self>, id: HolderId, life: Option<&Life>) {
-        let is_current = self.server.borrow().as_ref().map(|server| &server.life) == life;
+        let is_current = self.server.borrow().lives.known().map(|known| &known.life) == life;
         if !is_current || self.id() == id {
             return;
         }
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -49,13 +49,15 @@
     platform: Client,
     /// Tells this process from others of the same instance.
     run: u64,
+    /// When this process began.
+    began: Time,
     config: RefCell<Arc<Config>>,
     router: RefCell<Arc<Router>>,
     table: RefCell<Arc<Table>>,
     /// The table in the form that requests are routed by.
     rendered: RefCell<Arc<Rendered>>,
     /// The server beside this daemon, as it last reported.
-    server: RefCell<Option<Server>>,
+    server: RefCell<Server>,
     /// The server's life as a holder of keys, once it is registered.
     holder: RefCell<Option<Holder>>,
     /// Lives of servers beside this daemon that have ended and that the table still names.
@@ -94,6 +96,7 @@
             socket,
             platform,
             run: fastrand::u64(1..),
+            began: clock::now(),
             config: RefCell::default(),
             router: RefCell::default(),
             table: RefCell::default(),
