Count every byte that arrives as a sign of life, and check a slow daemon once

Cause: only a call's whole answer counted as a sign of life, a probe that was answered over another connection left 200 ms for what the daemon owed, and each further connection that fell quiet was checked, and replaced, by itself.

Now whatever arrives over a connection is a sign of life; one check of a daemon runs at a time, and new calls go on over the connection that it made meanwhile; what is owed gets 600 ms.

--- a/crates/daemon/src/control/handover.rs
+++ b/crates/daemon/src/control/handover.rs
@@ -66,9 +66,8 @@
         let mut call = link.peer.records_request();
         call.get().set_slice(slice);
         call.get().set_since(since);
-        let open = link.start();
+        let _open = link.start();
         let results = call.send().promise.await.ok()?;
-        open.answered();
         serde_json::from_slice(results.get().ok()?.get_content().ok()?).ok()
     }
 }
--- a/crates/daemon/src/control/patches.rs
+++ b/crates/daemon/src/control/patches.rs
@@ -87,9 +87,8 @@
         let Ok(link) = self.links.get(address).await else { return Sending::NotSent };
         let mut call = link.peer.patch_request();
         call.get().set_content(content);
-        let open = link.start();
+        let _open = link.start();
         let Ok(results) = call.send().promise.await else { return Sending::Lost };
-        open.answered();
         let outcome = results.get().and_then(|results| results.get_outcome());
         let outcome = outcome.ok().and_then(|bytes| serde_json::from_slice(bytes).ok());
         outcome.map_or(Sending::Lost, Sending::Answered)
--- a/crates/daemon/src/control/reports.rs
+++ b/crates/daemon/src/control/reports.rs
@@ -57,9 +57,8 @@
         let link = self.links.get(address).await.ok()?;
         let mut call = link.peer.report_request();
         call.get().set_content(&serde_json::to_vec(report).ok()?);
-        let open = link.start();
+        let _open = link.start();
         let results = call.send().promise.await.ok()?;
-        open.answered();
         Some(results.get().ok()?.get_accepted())
     }
 }
--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -64,9 +64,8 @@
         let link = self.links.get(source).await.ok()?;
         let mut call = link.peer.fetch_request();
         call.get().set_document(document);
-        let open = link.start();
+        let _open = link.start();
         let results = call.send().promise.await.ok()?;
-        open.answered();
         let content = results.get().ok()?.get_content().ok()?.to_vec();
         metrics::counter!(metric::FETCHED_BYTES).increment(content.len() as u64);
         Some(content)
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -409,7 +409,7 @@
     })?;
     let mut call = link.peer.forward_request();
     peer::write_request(call.get().init_request(), request, elsewhere, clock::now());
-    let open = link.start();
+    let _open = link.start();
     let lost = |error: capnp::Error| Refusal::sent(Kind::LinkLost).with_detail(error.to_string());
     let broken = |error: capnp::Error| Refusal::sent(Kind::Broken).with_detail(error.to_string());
     let mut results = pin!(call.send().promise);
@@ -428,7 +428,6 @@
         return Err(Refusal::sent(Kind::LinkLost).with_detail(detail));
     };
     let results = results.map_err(lost)?;
-    open.answered();
     let results = results.get().map_err(broken)?;
     let answer = results.get_answer().map_err(broken)?;
     let outlook = peer::read_outlook(answer);
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -1,20 +1,23 @@
 //! Connections to other daemons, one a worker and daemon; silent ones are replaced.
 //!
-//! A daemon that gets no processor answers no probe either. So silence alone only keeps new calls off
-//! a connection; those under way end once another connection shows that this one lost its other end.
+//! A daemon that gets no processor answers no probe either. So silence alone only has new calls go
+//! over another connection; those under way end once that one shows that this one lost its other end.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use cactushold_lease::Time;
 use cactushold_wire::schema::peer;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::{Mutex, Notify, watch};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -29,6 +32,8 @@
 const PROBE: Duration = Duration::from_millis(200);
 /// Time in which the probe of another connection to a suspect daemon is answered if that runs.
 const SECOND_PROBE: Duration = Duration::from_secs(1);
+/// Time in which what a daemon owes over a connection arrives once it answers over another one.
+const OWED: Duration = Duration::from_millis(600);
 /// After a failed dial, the next one waits this long.
 const REDIAL: Duration = Duration::from_millis(20);
 /// Failed dials in a row after which a daemon can't be reached any more.
@@ -39,12 +44,10 @@
     /// The other daemon.
     pub peer: peer::Client,
     address: SocketAddr,
-    heard: Cell<Time>,
+    heard: Rc<Heard>,
     open: Cell<u32>,
     oldest: Cell<Time>,
     is_watched: Cell<bool>,
-    /// Wakes whoever waits for a sign of life when a call is answered.
-    answers: Notify,
     state: watch::Sender<State>,
     siblings: Weak<Table>,
     _system: AbortOnDropHandle<()>,
@@ -60,10 +63,42 @@
     Lost,
 }
 
-/// A call under way; notes the answer.
-pub struct Open<'a> {
-    link: &'a Link,
-    answered: bool,
+/// A call under way, until this is dropped.
+pub struct Open<'a>(&'a Link);
+
+/// What arrives over a connection, of whichever call: each byte is a sign of life.
+#[derive(Default)]
+struct Heard {
+    at: Cell<Time>,
+    news: Notify,
+}
+
+impl Heard {
+    fn note(&self) {
+        self.at.set(clock::now());
+        self.news.notify_waiters();
+    }
+}
+
+/// The receiving half of a connection; notes what arrives.
+struct Receiver {
+    half: OwnedReadHalf,
+    heard: Rc<Heard>,
+}
+
+impl AsyncRead for Receiver {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.half).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.heard.note();
+        }
+        polled
+    }
 }
 
 impl Link {
@@ -76,7 +111,7 @@
         if !self.is_watched.replace(true) {
             tokio::task::spawn_local(Rc::clone(self).watch());
         }
-        Open { link: self, answered: false }
+        Open(self)
     }
 
     /// Resolves when nothing is heard any more, though answers may still come.
@@ -114,7 +149,7 @@
     }
 
     fn quiet_since(&self) -> Time {
-        self.oldest.get().max(self.heard.get())
+        self.oldest.get().max(self.heard.at.get())
     }
 
     /// Probes the connection for as long as calls are open and nothing is heard.
@@ -135,7 +170,7 @@
         let mut sign = pin!(async {
             tokio::select! {
                 answer = probe => answer.is_ok(),
-                () = self.answers.notified() => true,
+                () = self.heard.news.notified() => true,
             }
         });
         let mut is_alive = stall::timeout(PROBE, &mut sign).await;
@@ -147,18 +182,17 @@
                 () = self.is_disproved() => None,
             };
         }
-        if is_alive == Some(true) {
-            self.heard.set(clock::now());
-            self.set(State::Working);
-        } else {
-            self.set(State::Lost);
-        }
+        self.set(if is_alive == Some(true) { State::Working } else { State::Lost });
     }
 
     /// Returns once other connections show that no answer will come over this one: the daemon
     /// answers there, or can't be reached at all. What it owes here still gets the time to arrive.
     async fn is_disproved(&self) {
         let Some(siblings) = self.siblings.upgrade() else { return };
+        let check = siblings.check_of(self.address);
+        // One check of a daemon at a time: more connections make a slow one slower.
+        let _checking = check.lock().await;
+        siblings.forget(self);
         let mut dials = 0;
         while dials < MAX_DIALS {
             let Ok(other) = Table::get(&siblings, self.address).await else {
@@ -174,7 +208,7 @@
                 None => siblings.forget(&other),
             }
         }
-        stall::timeout(PROBE, std::future::pending::<()>()).await;
+        stall::timeout(OWED, std::future::pending::<()>()).await;
     }
 
     fn tell_silence(&self, asked: Time, now: Time) {
@@ -190,20 +224,9 @@
     }
 }
 
-impl Open<'_> {
-    /// Notes that the other end answered.
-    pub fn answered(mut self) {
-        self.answered = true;
-    }
-}
-
 impl Drop for Open<'_> {
     fn drop(&mut self) {
-        self.link.open.set(self.link.open.get() - 1);
-        if self.answered {
-            self.link.heard.set(clock::now());
-            self.link.answers.notify_waiters();
-        }
+        self.0.open.set(self.0.open.get() - 1);
     }
 }
 
@@ -217,6 +240,8 @@
 struct Table {
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     failed: RefCell<HashMap<SocketAddr, Time>>,
+    /// Held while a suspect connection to the daemon is looked into.
+    checks: RefCell<HashMap<SocketAddr, Rc<Mutex<()>>>>,
 }
 
 impl Links {
@@ -232,15 +257,14 @@
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.table.links.borrow_mut().retain(|address, _| keep(address));
         self.table.failed.borrow_mut().retain(|address, _| keep(address));
+        self.table.checks.borrow_mut().retain(|address, _| keep(address));
     }
 }
 
 impl Table {
     async fn get(this: &Rc<Table>, address: SocketAddr) -> std::io::Result<Rc<Link>> {
         let now = clock::now();
-        if let Some(link) = this.links.borrow().get(&address)
-            && link.state() == State::Working
-        {
+        if let Some(link) = this.links.borrow().get(&address).filter(|link| this.is_usable(link)) {
             return Ok(Rc::clone(link));
         }
         if this.failed.borrow().get(&address).is_some_and(|at| now < *at + REDIAL) {
@@ -258,10 +282,27 @@
         }
     }
 
+    /// Whether new calls may go over a connection. One that hears nothing is as good as any while
+    /// its daemon is known to be slow.
+    fn is_usable(&self, link: &Link) -> bool {
+        match link.state() {
+            State::Working => true,
+            State::Suspect => {
+                let checks = self.checks.borrow();
+                checks.get(&link.address).is_some_and(|check| check.try_lock().is_err())
+            }
+            State::Lost => false,
+        }
+    }
+
+    fn check_of(&self, address: SocketAddr) -> Rc<Mutex<()>> {
+        Rc::clone(self.checks.borrow_mut().entry(address).or_default())
+    }
+
     /// Has the next call dial anew; calls under way go on.
-    fn forget(&self, link: &Rc<Link>) {
+    fn forget(&self, link: &Link) {
         let mut links = self.links.borrow_mut();
-        if links.get(&link.address).is_some_and(|known| Rc::ptr_eq(known, link)) {
+        if links.get(&link.address).is_some_and(|known| std::ptr::eq(&**known, link)) {
             links.remove(&link.address);
         }
     }
@@ -271,7 +312,9 @@
     let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
-    let (reader, writer) = stream.into_split();
+    let (half, writer) = stream.into_split();
+    let heard = Rc::new(Heard::default());
+    let reader = Receiver { half, heard: Rc::clone(&heard) };
     let network = VatNetwork::new(
         futures::io::BufReader::new(reader.compat()),
         futures::io::BufWriter::new(writer.compat_write()),
@@ -291,11 +334,10 @@
         Link {
             peer,
             address,
-            heard: Cell::new(Time::ZERO),
+            heard,
             open: Cell::new(0),
             oldest: Cell::new(Time::ZERO),
             is_watched: Cell::new(false),
-            answers: Notify::new(),
             state: watch::Sender::new(State::Working),
             siblings,
             _system: AbortOnDropHandle::new(running),
--- a/crates/daemon/src/peer_quota.rs
+++ b/crates/daemon/src/peer_quota.rs
@@ -37,9 +37,8 @@
     let mut demand = call.get().init_demands(1).get(0);
     demand.set_workspace(workspace);
     demand.set_tokens_milli(MILLI as u64);
-    let open = link.start();
+    let _open = link.start();
     let results = tokio::time::timeout(ANSWER, call.send().promise).await.ok()?.ok()?;
-    open.answered();
     let shares = results.get().ok()?.get_shares().ok()?;
     let share = shares.iter().next()?;
     let is_taken = share.get_fresh_milli() > 0;
@@ -90,9 +89,8 @@
         demand.set_held_depth_milli((due.demand.held.depth * MILLI).round() as u32);
         demand.set_daemon(view.id);
     }
-    let open = link.start();
+    let _open = link.start();
     let results = tokio::time::timeout(ANSWER, call.send().promise).await.ok()?.ok()?;
-    open.answered();
     let now = clock::now();
     for share in results.get().ok()?.get_shares().ok()? {
         let workspace = share.get_workspace().ok()?.to_str().ok()?;
