--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -169,7 +169,7 @@
     ) -> Result<(hyper::Response<Incoming>, Connection), Refusal> {
         let deadline = clock::instant(request.deadline);
         let identity = self.identity(request);
-        let sending = self.pool.send(outgoing, Some(identity));
+        let sending = self.pool.send(outgoing, identity);
         let sending = tokio::time::timeout_at(deadline, sending).await;
         let (response, mut connection) = match sending {
             Ok(Ok(answered)) => answered,
@@ -279,19 +279,19 @@
             .method(method)
             .uri(path)
             .header(HOST, self.address.to_string())
+            .header(CONNECTION, "close")
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
-        let sending = tokio::time::timeout(GRANT, self.pool.send(request, None)).await;
+        let sending = tokio::time::timeout(GRANT, self.pool.send_alone(request)).await;
         let sent = sending.map_err(|_| {
             self.renew_connections();
             "no answer".to_owned()
         })?;
-        let (response, connection) = sent.map_err(|failure| match failure {
+        let (response, _connection) = sent.map_err(|failure| match failure {
             Failure::NotSent(reason) | Failure::Broken(reason) => reason,
         })?;
         let status = response.status();
-        self.finish_declined(response, connection).await;
         if status.is_success() { Ok(()) } else { Err(status.to_string()) }
     }
 
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -90,7 +90,7 @@
     pub async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
-        identity: Option<Identity>,
+        identity: Identity,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         while let Some(mut connection) = self.take_idle(identity).await {
             match connection.send(request).await {
@@ -102,6 +102,17 @@
                 },
             }
         }
+        self.send_alone(request).await
+    }
+
+    /// Sends a request over a connection of its own: no answer to an earlier one can come there.
+    ///
+    /// # Errors
+    /// As for [`Pool::send`].
+    pub async fn send_alone(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), Failure> {
         let mut connection = self.dial().await?;
         match connection.send(request).await {
             Ok(response) => Ok((response, connection)),
@@ -112,7 +123,7 @@
         }
     }
 
-    async fn take_idle(&self, identity: Option<Identity>) -> Option<Connection> {
+    async fn take_idle(&self, identity: Identity) -> Option<Connection> {
         loop {
             let Idle { mut connection, until } = self.newest_idle(identity)?;
             if clock::now() >= until || connection.sender.is_closed() {
@@ -125,10 +136,9 @@
         }
     }
 
-    fn newest_idle(&self, identity: Option<Identity>) -> Option<Idle> {
+    fn newest_idle(&self, identity: Identity) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
-        let may_carry = |idle: &Idle| identity.is_none_or(|id| !idle.connection.has_refused(id));
-        let at = idle.iter().rposition(may_carry)?;
+        let at = idle.iter().rposition(|idle| !idle.connection.has_refused(identity))?;
         Some(idle.remove(at))
     }
 
--- a/crates/daemon/tests/system/kept_connections.rs
+++ b/crates/daemon/tests/system/kept_connections.rs
@@ -1,6 +1,6 @@
 //! Upstreams that write an earlier answer once more on a kept connection.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use cactushold_standin::script::{Action, Proxy};
 use cactushold_standin::shapes::SMALL;
 use cactushold_standin::upstream::Shape;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::cases::{by_tag, describe};
 
@@ -142,3 +142,70 @@
         assert!(malformed > 0, "{repeated:?}: {told:?}");
     }
 }
+
+/// Slices that an upstream was granted and those that it was asked to give up.
+#[derive(Default)]
+struct Orders {
+    granted: BTreeSet<u64>,
+    revoked: BTreeSet<u64>,
+}
+
+/// Repeats the answer to a connection's first order in place of the answer to a revocation.
+fn choose_order(
+    connection: usize,
+    request: &str,
+    used: &Mutex<HashSet<usize>>,
+    orders: &Mutex<Orders>,
+) -> Action {
+    let path = request.split(' ').nth(1).unwrap_or_default();
+    if !path.starts_with("/_grants") {
+        return Action::Pass;
+    }
+    let is_first = used.lock().expect("no holder panics").insert(connection);
+    let mut orders = orders.lock().expect("no holder panics");
+    if let Some(slice) = path.strip_prefix("/_grants/").and_then(|slice| slice.parse().ok()) {
+        if !is_first {
+            return Action::Answer(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".into());
+        }
+        orders.revoked.insert(slice);
+        return Action::Pass;
+    }
+    let body = request.split("\r\n\r\n").nth(1).unwrap_or_default();
+    let body: Value = serde_json::from_str(body).unwrap_or_default();
+    orders.granted.extend(body["slice"].as_u64());
+    Action::Pass
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_repeated_answer_to_a_grant_is_not_taken_for_that_to_a_revocation() {
+    let mut environment = Environment::new().await;
+    let (mut proxies, mut all) = (Vec::new(), Vec::new());
+    for (name, zone) in [("lookup-1", "a"), ("lookup-2", "b"), ("lookup-3", "c")] {
+        let orders = Arc::new(Mutex::new(Orders::default()));
+        let (used, noted) = (Mutex::default(), Arc::clone(&orders));
+        let choose =
+            move |connection, request: &str| choose_order(connection, request, &used, &noted);
+        let proxy = environment.add_scripted_upstream(name, zone, "lookup", SHAPE, choose).await;
+        proxies.push(proxy);
+        all.push(orders);
+    }
+    environment.until_settled().await;
+    let outcome = environment.patch(0, "first", 0, SMALL.operations()).await;
+    assert_eq!(outcome["outcome"], "accepted", "{outcome}");
+    environment.until_version(1).await;
+    environment.until_settled().await;
+    let later = Arc::new(Mutex::new(Orders::default()));
+    let (used, noted) = (Mutex::default(), Arc::clone(&later));
+    let choose = move |connection, request: &str| choose_order(connection, request, &used, &noted);
+    proxies.push(environment.add_scripted_upstream("lookup-4", "a", "lookup", SHAPE, choose).await);
+    environment.until_settled().await;
+    let moved = later.lock().expect("no holder panics").granted.clone();
+    assert!(!moved.is_empty(), "the fourth upstream got slices");
+    for slice in moved {
+        for (at, orders) in all.iter().enumerate() {
+            let orders = orders.lock().expect("no holder panics");
+            let is_known = !orders.granted.contains(&slice) || orders.revoked.contains(&slice);
+            assert!(is_known, "slice {slice} has moved, and upstream {at} doesn't know");
+        }
+    }
+}
