--- a/crates/daemon/tests/platform/kept_connections.rs
+++ b/crates/daemon/tests/platform/kept_connections.rs
@@ -1,7 +1,7 @@
 //! Servers that write an earlier answer once more on a kept connection.
 
-use std::collections::HashSet;
-use std::sync::Mutex;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cactushold_standin::environment::Environment;
@@ -17,6 +17,8 @@
 const RUN: Duration = Duration::from_millis(30);
 /// Statuses that tell a caller that its request did not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Refusals after which a connection has to be closed.
+const MAX_REFUSALS: usize = 256;
 /// Position of the key in requests that need its holder.
 const POSITION: u16 = 7;
 
@@ -50,8 +52,12 @@
 struct Script {
     /// Requests that were refused, with the number of their connection.
     refused: Mutex<HashSet<(usize, String)>>,
+    refusals: Refusals,
 }
 
+/// Refusals by the number of their connection.
+type Refusals = Arc<Mutex<BTreeMap<usize, usize>>>;
+
 impl Script {
     fn choose(&self, connection: usize, request: &str) -> Action {
         let path = request.split(' ').nth(1).unwrap_or_default();
@@ -59,6 +65,11 @@
         let Some(attempt) = attempt else { return Action::Pass };
         match path.rsplit('/').next() {
             Some("refused-twice") => self.refuse_twice(connection, attempt),
+            Some("refused") => {
+                *self.refusals.lock().expect("no holder panics").entry(connection).or_default() +=
+                    1;
+                Action::Answer(refusal(attempt, 503))
+            }
             Some("keep") => Action::Answer(sealed(attempt)),
             Some("behind-an-answer") => Action::Precede(sealed("another")),
             Some("behind-a-refusal") => Action::Precede(refusal("another", 503)),
@@ -105,6 +116,8 @@
 
 struct Deployment {
     environment: Environment,
+    /// Refusals by the server without keys.
+    refusals: Refusals,
     _proxies: Vec<Proxy>,
 }
 
@@ -112,13 +125,16 @@
     async fn start() -> Deployment {
         let mut environment = Environment::new().await;
         environment.store("config", "main", &config()).await;
-        let mut proxies = Vec::new();
+        let (mut proxies, refusals) = (Vec::new(), Refusals::default());
         for service in ["plain", "keyed"] {
-            let script = Script::default();
+            let mut script = Script::default();
+            if service == "plain" {
+                script.refusals = Arc::clone(&refusals);
+            }
             let choose = move |connection, request: &str| script.choose(connection, request);
             proxies.push(environment.add_scripted(service, "a", service, choose).await);
         }
-        let deployment = Deployment { environment, _proxies: proxies };
+        let deployment = Deployment { environment, refusals, _proxies: proxies };
         for path in ["/plain/x", "/keyed/x"] {
             until("served", async || {
                 deployment.ask(path, "first").await.is_ok_and(|answer| answer.status == 200)
@@ -184,3 +200,15 @@
     let answer = deployment.ask("/plain/x", "afterwards").await.expect("an answer");
     assert_eq!(answer.status, 200, "the server is used again: {answer:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_is_kept_for_a_bounded_number_of_refusals() {
+    let deployment = Deployment::start().await;
+    for at in 0..MAX_REFUSALS * 3 {
+        let answer = deployment.ask("/plain/refused", &format!("refused-{at}")).await;
+        assert_eq!(answer.expect("an answer").status, 503);
+    }
+    let refusals = deployment.refusals.lock().expect("no holder panics");
+    let most = refusals.values().max();
+    assert_eq!(most, Some(&MAX_REFUSALS), "{refusals:?}");
+}
