Count the store's word as old as the time that it may have lain unread

A leader that had been paused for longer than its authority could take the store's word on its term, which a member had passed on before, for a fresh one when it read it: it went on renewing members for up to 8 s while another leader, elected meanwhile, could take a member that didn't know the new term for lapsed.

Cause: Leader::hear counted a word's age from when it read the heartbeat, not from when that was sent.

Change: the longest time between two calls of the leader within the last 500 ms, in which it has read what lay unread, is added to the age of each word that it takes. A word that is fresh counts as up to that much older, mostly 100 ms.

Remains: a datagram that is itself on its way for more than 0.5 s, the room that the allowance for clocks leaves, does the same. To mend that the member has to name a reading of the leader's clock from before it asked, a new field on the wire.

--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -20,6 +20,8 @@
 const SILENT: Duration = Duration::from_millis(1_100);
 /// A leader that wasn't called for this long stood still: its own heartbeat comes each 400 ms.
 const STOOD_STILL: Duration = Duration::from_millis(600);
+/// Time in which a leader that runs again has read what lay unread, with room for a busy machine.
+const READ_ALL: Duration = Duration::from_millis(500);
 /// How often silent members are looked for.
 const LOOK: Duration = Duration::from_millis(50);
 /// Time without newcomers after which the keys of a service are divided among its servers.
@@ -31,6 +33,22 @@
 /// Members told of in one renewal; a datagram has room for them.
 const MOST_SILENT: usize = 64;
 
+/// For how long what is read now may have lain unread.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lag {
+    longest: Duration,
+    until: Time,
+}
+
+impl Lag {
+    /// Notes the time between two calls.
+    fn note(&mut self, gap: Duration, now: Time) {
+        if gap >= self.longest || now >= self.until {
+            *self = Lag { longest: gap, until: now + READ_ALL };
+        }
+    }
+}
+
 /// One term of a leader.
 #[derive(Clone, Debug)]
 pub struct Leader {
@@ -56,6 +74,7 @@
     /// Members that were heard when it stood still, and when it ran again: what they sent meanwhile
     /// may lie unread.
     unread: BTreeMap<HolderId, Time>,
+    lag: Lag,
     balanced: Time,
     /// When the latest table was stored.
     written: Time,
@@ -81,6 +100,7 @@
             looked: Time::ZERO,
             called: now,
             unread: BTreeMap::new(),
+            lag: Lag::default(),
             balanced: now,
             written: now,
         }
@@ -121,7 +141,7 @@
     ) -> Renewal {
         self.run(now);
         if let Some(age) = heartbeat.word_age {
-            self.lessor.assure(now.saturating_sub(age));
+            self.lessor.assure(now.saturating_sub(age + self.lag.longest));
         }
         if table.members.contains_key(&from) {
             for release in &heartbeat.releases {
@@ -149,6 +169,7 @@
     fn run(&mut self, now: Time) {
         let before = self.called;
         self.called = before.max(now);
+        self.lag.note(now.saturating_sub(before), now);
         if now < before + STOOD_STILL {
             return;
         }
--- a/crates/ownership/tests/leader.rs
+++ b/crates/ownership/tests/leader.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use cactushold_ownership::{Heartbeat, HolderId, LEASE, Leader, Member, Renewal, Table, Time};
+use cactushold_ownership::{
+    AUTHORITY, Heartbeat, HolderId, LEASE, Leader, Member, Renewal, Table, Time,
+};
 
 const SERVICE: &str = "lookup";
 const START: Time = Duration::from_secs(100);
@@ -161,3 +163,21 @@
     session.stand_still(Duration::from_millis(1_500));
     assert_eq!(session.hear(MEMBERS[1]).silent, MEMBERS[..1]);
 }
+
+#[test]
+fn the_stores_word_is_no_fresher_than_the_time_that_it_lay_unread() {
+    let mut session = Session::new();
+    let heartbeat =
+        |sent| Heartbeat { sent, term: 1, word_age: Some(Duration::ZERO), ..Heartbeat::default() };
+    // Sent soon after the leader stood still; meanwhile another one may have been elected.
+    let lying = heartbeat(session.now);
+    session.stand_still(AUTHORITY + Duration::from_secs(1));
+    for id in MEMBERS {
+        let renewal = session.leader.hear(id, lying.clone(), &session.table, session.now);
+        assert_eq!(renewal.lease, Duration::ZERO, "{id}");
+    }
+    session.now += Duration::from_secs(1);
+    let fresh = heartbeat(session.now);
+    let renewal = session.leader.hear(MEMBERS[0], fresh, &session.table, session.now);
+    assert_eq!(renewal.lease, LEASE);
+}
