Send hang-ups at every moment of a lone daemon's life

Evidence: a process test sends hang-ups from the moment on at which /proc/PID/status shows a handler (120 moments, 250 us apart, until after "listening"), three overlapping series of 60 while it runs, one every 3 ms from SIGTERM to the exit (three daemons), together with SIGTERM and SIGINT in four orders, while it starts and while it runs, and 240 in series while the settings file is missing, a folder, cut off or changed. No daemon ended by a hang-up; all stops ended with code 0. The tests passed on the code as it is: nothing in the daemon is changed.

What remains: between exec and the installation of the handlers the default action holds. A starter that ignores SIGHUP (`trap '' HUP; exec cactusholdd FILE`) leaves no such moment: the daemon replaces the inherited disposition, and a test holds that it obeys hang-ups all the same.

The change: tests only; `end` moved from reread.rs to main.rs.

--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -1,10 +1,12 @@
 //! A daemon as a process on its own: nothing that it needs can be reached.
 
+mod hangups;
 mod reread;
 mod scarce;
 mod start;
 
-use std::process::Child;
+use std::process::{Child, ExitStatus};
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -32,6 +34,9 @@
 workers = 1
 "#;
 
+/// Longest graceful shutdown without requests, and some.
+const SHUTDOWN: Duration = Duration::from_secs(10);
+
 fn pid(child: &Child) -> Pid {
     Pid::from_raw(child.id() as i32).expect("a child's id is positive")
 }
@@ -40,3 +45,17 @@
 fn signal(child: &Child, signal: Signal) {
     kill_process(pid(child), signal).expect("the daemon lives");
 }
+
+/// How a daemon ended, if it did in time; kills it otherwise.
+fn end(child: &mut Child) -> Option<ExitStatus> {
+    let start = Instant::now();
+    while start.elapsed() < SHUTDOWN {
+        if let Some(status) = child.try_wait().expect("a child") {
+            return Some(status);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    child.kill().ok();
+    child.wait().ok();
+    None
+}
--- a/crates/daemon/tests/process/reread.rs
+++ b/crates/daemon/tests/process/reread.rs
@@ -2,16 +2,13 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::{Duration, Instant};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use rustix::fs::{CWD, FileType, Mode, mknodat};
 use rustix::process::Signal;
 
-use crate::{SETTINGS, signal};
-
-/// Longest graceful shutdown without requests, and some.
-const PATIENCE: Duration = Duration::from_secs(10);
+use crate::{SETTINGS, end, signal};
 
 fn settings(name: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("cactushold-{name}-{}", std::process::id()));
@@ -34,20 +31,6 @@
     child
 }
 
-/// How the daemon ended, if it did in time; kills it otherwise.
-fn end(child: &mut Child) -> Option<ExitStatus> {
-    let start = Instant::now();
-    while start.elapsed() < PATIENCE {
-        if let Some(status) = child.try_wait().expect("a child") {
-            return Some(status);
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    }
-    child.kill().ok();
-    child.wait().ok();
-    None
-}
-
 #[test]
 fn a_file_that_can_not_be_read_to_its_end_stops_no_daemon() {
     let path = settings("pipe");
