Close the connections of a server that ends; keep what it ran and held

Cause: the stand-in. Its serving task was aborted, but the tasks of its connections went on, so daemons that had one open kept asking the ended life, which held nothing and answered 421. A process that ends closes its connections.

Ruled out: ownership. The table stayed at one version, and each key was held by one server, which reported and was granted it.

The change: an ended server is told to stop at once, connections included; the environment keeps ended servers, whose logs of runs and holds can be read. A daemon that starts beside an ended server still listens for reports, and reporting deployments may have relays, too.

--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -38,6 +38,8 @@
     pub server: Option<Server>,
     /// Where it tells whether it takes callers, if its server reports.
     pub ready: Option<SocketAddr>,
+    /// Where its server reports, if that does.
+    pub(crate) reports: Option<SocketAddr>,
     pub(crate) child: Child,
     pub(crate) log: Log,
 }
@@ -91,6 +93,12 @@
 impl Daemon {
     /// Has a server report to this daemon.
     pub(crate) fn attach(&mut self, server: Server) {
+        server.report_to(self.reports.expect("an address for reports"));
+        self.server = Some(server);
+    }
+
+    /// Waits until the daemon listens for reports.
+    pub(crate) fn learn_reports(&mut self) {
         let start = Instant::now();
         let line = loop {
             let found = self.log().into_iter().find(|line| line.contains("listening-for-reports"));
@@ -103,8 +111,7 @@
         let line: Value = serde_json::from_str(&line).unwrap_or_default();
         let address = |key: &str| line[key].as_str().and_then(|text| text.parse().ok());
         self.ready = address("ready");
-        server.report_to(address("reports").expect("an address for reports"));
-        self.server = Some(server);
+        self.reports = address("reports");
     }
 
     /// Process id.
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -36,6 +36,8 @@
     pub platform: SocketAddr,
     /// The daemons, in the order they were started.
     pub daemons: Vec<Daemon>,
+    /// Earlier lives of their servers, with what they ran and held.
+    pub ended: Vec<Server>,
     /// For requests of any kind.
     pub http: Http,
     settings: PathBuf,
@@ -80,6 +82,7 @@
             _turn: turn,
             platform,
             daemons: Vec::new(),
+            ended: Vec::new(),
             http: Http::default(),
             settings,
             workers: 1,
@@ -110,7 +113,8 @@
         let any = ([127, 0, 0, 1], 0).into();
         let server = Server::start(any, service, zone, RUN).await.expect("a free port");
         let address = server.address;
-        self.attach(name, zone, service, server, address)
+        let relay = if self.with_relays { Some(Relay::start().await) } else { None };
+        self.attach(name, zone, service, server, address, relay)
     }
 
     /// Like [`Environment::add_reporting`], with a proxy between the daemon and its server.
@@ -127,7 +131,7 @@
         let any = ([127, 0, 0, 1], 0).into();
         let server = Server::start(any, service, zone, RUN).await.expect("a free port");
         let proxy = Proxy::start(server.address, choose).await.expect("a free port");
-        self.attach(name, zone, service, server, proxy.address);
+        self.attach(name, zone, service, server, proxy.address, None);
         proxy
     }
 
@@ -139,8 +143,10 @@
         service: &str,
         server: Server,
         address: SocketAddr,
+        relay: Option<Relay>,
     ) -> usize {
-        let mut daemon = self.spawn(name, zone, service, address, None, REPORTS);
+        let mut daemon = self.spawn(name, zone, service, address, relay, REPORTS);
+        daemon.learn_reports();
         daemon.attach(server);
         self.daemons.push(daemon);
         self.daemons.len() - 1
@@ -148,7 +154,10 @@
 
     /// Ends the server beside a daemon; nothing listens at its address any more.
     pub fn end_server(&mut self, index: usize) {
-        self.daemons[index].server = None;
+        if let Some(server) = self.daemons[index].server.take() {
+            server.end();
+            self.ended.push(server);
+        }
     }
 
     /// Starts another life of the server beside a daemon, at the same address.
@@ -164,8 +173,8 @@
     /// # Panics
     /// It can't be started.
     pub async fn start_server_behind(&mut self, index: usize, behind: Duration) {
+        self.end_server(index);
         let daemon = &mut self.daemons[index];
-        daemon.server = None;
         let server = loop {
             // The address is free once the earlier life has wholly ended.
             match Server::start(daemon.upstream, &daemon.service, &daemon.zone, RUN).await {
@@ -209,8 +218,12 @@
         let old = &self.daemons[index];
         let (name, zone, service) = (old.name.clone(), old.zone.clone(), old.service.clone());
         let (upstream, relay) = (old.upstream, old.relay.clone());
-        let reports = if server.is_some() { REPORTS } else { "" };
+        let is_reported_to = old.reports.is_some();
+        let reports = if is_reported_to { REPORTS } else { "" };
         let mut daemon = self.spawn(&name, &zone, &service, upstream, relay, reports);
+        if is_reported_to {
+            daemon.learn_reports();
+        }
         if let Some(server) = server {
             daemon.attach(server);
         }
@@ -271,6 +284,7 @@
             relay,
             server: None,
             ready: None,
+            reports: None,
             child,
             log,
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -10,6 +10,7 @@
 use poem::web::Data;
 use poem::{Body, EndpointExt, Request, Response, Route, handler};
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::http::Http;
@@ -92,14 +93,14 @@
     /// Where it serves.
     pub address: SocketAddr,
     shared: Shared,
-    tasks: Vec<JoinHandle<()>>,
+    /// Ends what serves, together with its connections.
+    stop: Arc<Notify>,
+    reporting: JoinHandle<()>,
 }
 
 impl Drop for Server {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.end();
     }
 }
 
@@ -139,12 +140,27 @@
         };
         let shared = Shared(Arc::new(Mutex::new(state)));
         let app = Route::new().at("/*", serve).data(shared.clone());
-        let serving = poem::Server::new_with_acceptor(acceptor).run(app);
-        let serving = tokio::spawn(async move {
-            serving.await.ok();
+        let stop = Arc::new(Notify::new());
+        let stopped = Arc::clone(&stop);
+        tokio::spawn(async move {
+            let signal = async move { stopped.notified().await };
+            let server = poem::Server::new_with_acceptor(acceptor);
+            server.run_with_graceful_shutdown(app, signal, Some(Duration::ZERO)).await.ok();
         });
         let reporting = tokio::spawn(report(shared.clone()));
-        Ok(Server { address: local, shared, tasks: vec![serving, reporting] })
+        Ok(Server { address: local, shared, stop, reporting })
+    }
+
+    /// Ends it at once; what it ran and held can still be read.
+    pub fn end(&self) {
+        self.stop.notify_one();
+        self.reporting.abort();
+        let now = Instant::now();
+        self.shared.with(|state| {
+            for held in &mut state.held {
+                held.until = held.until.min(now);
+            }
+        });
     }
 
     /// Sets the clock by which it tells its start back.
