End a stop once answers are written, and close connections without resetting them

What callers saw: a caller that read slowly lost the answers of requests that had run when the daemon stopped.

Cause: a request counted as open until its answer was handed to the connection, not until it was written; the process ended 10 ms later. And a connection that is closed with unread bytes is reset, which discards what its caller hasn't received: the requests that it sent behind the closing answer are such bytes.

Evidence: `a_caller_who_reads_slowly_gets_all_answers_of_a_daemon_that_stops` on, rulings sent at once, answers of 60 kB, read from 3 s after SIGTERM on, grace 6 s:

assertion `left == right` failed: answers of requests passed on left: 0 right: 61

Change: `ingress::connection` keeps a request open until its connection is flushed after the answer. A connection is closed for writing first; the socket stays open until its caller closes as well, for 2 s at most. What the caller still sends stays unread, so that it counts as not read and can be sent again (reading and discarding it was tried and dropped for that reason). Workers end when nothing is open at two looks in a row.

After: the test passes, all answers are read.

--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -1,6 +1,7 @@
 //! What callers see.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::exchange::{Answer, INTERNAL_PREFIX, Refusal, Reply, Rest};
+use crate::ingress::connection::{Open, Unwritten};
 use crate::shared::OpenRequest;
 
 type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, Cut>>>>;
@@ -20,10 +22,17 @@
 #[error("the upstream's answer was cut off")]
 pub struct Cut;
 
-/// The body of an answer, and the request that is open until it is sent.
+/// The body of an answer, and the request that is open until it is written.
 pub struct Body {
     content: Content,
-    _open: OpenRequest,
+    open: Open,
+}
+
+impl Body {
+    /// Notes the connection that the answer is written to.
+    pub fn set_connection(&mut self, unwritten: &Rc<Unwritten>) {
+        self.open.set_connection(unwritten);
+    }
 }
 
 enum Content {
@@ -100,7 +109,7 @@
         Ok(reply) => succeed(reply),
         Err(refusal) => refuse(&refusal, style),
     };
-    response.map(|content| Body { content, _open: open })
+    response.map(|content| Body { content, open: Open::new(open) })
 }
 
 fn succeed(reply: Reply) -> Response<Content> {
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod answer;
 mod attempts;
+mod connection;
 mod pipeline;
 mod rate;
 mod route;
@@ -12,6 +13,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +30,7 @@
 
 use crate::event::Event;
 use crate::exchange::{Answer, Refusal, Request};
+use crate::ingress::connection::{Connection, Unwritten};
 use crate::ingress::pipeline::{Bodiless, Pipeline, Watched};
 use crate::shared::OpenRequest;
 use crate::worker::Worker;
@@ -70,11 +73,18 @@
             handle_ahead(&worker, request).await
         }))
     });
+    let unwritten = Rc::new(Unwritten::default());
+    let stream = Connection::new(stream, Arc::clone(&worker.shared), Rc::clone(&unwritten));
     let watched = Watched::new(stream, limits.head_bytes.max(8 << 10), Rc::clone(&pipeline));
     let in_turn = Rc::clone(&pipeline);
     let service = service_fn(move |request| {
         let (worker, pipeline) = (Rc::clone(&worker), Rc::clone(&in_turn));
-        async move { Ok::<_, Infallible>(answer_in_turn(&worker, &pipeline, request).await) }
+        let unwritten = Rc::clone(&unwritten);
+        async move {
+            let mut response = answer_in_turn(&worker, &pipeline, request).await;
+            response.body_mut().set_connection(&unwritten);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -26,6 +26,8 @@
 const BACKLOG: i32 = 1_024;
 /// How often a stopping worker looks whether its requests have ended.
 const POLL_STOP: Duration = Duration::from_millis(10);
+/// Looks in a row at which nothing is open: an answer may be on its way from a call to a connection.
+const IDLE_LOOKS: u32 = 2;
 
 /// What a worker's tasks share.
 pub struct Worker {
@@ -159,11 +161,12 @@
 async fn finish(shared: &Shared) {
     let end = shared.shutdown().map_or_else(clock::now, Shutdown::end);
     let idle = async {
-        while shared.open_requests() > 0 || shared.guard().busy() > 0 {
+        let mut looks = 0;
+        while looks < IDLE_LOOKS {
             tokio::time::sleep(POLL_STOP).await;
+            let is_busy = shared.open_requests() > 0 || shared.guard().busy() > 0;
+            looks = if is_busy { 0 } else { looks + 1 };
         }
     };
     tokio::time::timeout_at(clock::instant(end), idle).await.ok();
-    // Answers that are complete still have to reach their callers.
-    tokio::time::sleep(POLL_STOP).await;
 }
--- a/crates/daemon/tests/platform/grace.rs
+++ b/crates/daemon/tests/platform/grace.rs
@@ -3,15 +3,18 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use cactushold_standin::environment::{Environment, PATIENCE};
+use cactushold_standin::flood::Flood;
 use futures::future::join_all;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
-use crate::cases::{deployment_with_grace, runs, until, until_logged};
+use crate::cases::{
+    RULING, ask, config, deployment_with_grace, runs, until, until_held, until_logged,
+};
 
 /// A time from SIGTERM to SIGKILL that leaves little for notice.
 const SHORT: Duration = Duration::from_secs(2);
@@ -257,3 +260,61 @@
     let runs = runs(&environment);
     assert!(runs.is_empty(), "taken too late: {runs:?}");
 }
+
+/// Requests sent at once whose answers don't fit into the buffers on their way.
+const MANY: usize = 80;
+/// Bytes of each answer, which travels in one message.
+const ANSWER: usize = 60_000;
+/// Receive buffer of a slow caller, in bytes.
+const SMALL_BUFFER: u32 = 16 << 10;
+/// Time after SIGTERM at which a slow caller reads on: after the notice, before the limit.
+const READS_ON: Duration = Duration::from_secs(3);
+
+/// A long answer to each ruling that a caller numbers; counts them.
+fn long_answer(request: &str, count: &AtomicUsize) -> Option<Flood> {
+    let attempt = request.lines().find_map(|line| line.strip_prefix("attempt-id: "))?;
+    if !attempt.starts_with("long-") {
+        return None;
+    }
+    count.fetch_add(1, Ordering::Relaxed);
+    let start = format!(
+        "HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nreply-seal: s\r\ncontent-length: {ANSWER}\r\n\r\n"
+    );
+    Some(Flood { start, repeated: "a", is_slow: false })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_reads_slowly_gets_all_answers_of_a_daemon_that_stops() {
+    let mut environment = Environment::new().await;
+    environment.store("config", "main", &config(1)).await;
+    let passed_on = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&passed_on);
+    let choose = move |request: &str| long_answer(request, &count);
+    let _proxy = environment.add_flooding("ruling-1", "a", "ruling", choose).await;
+    environment.add_reporting("lookup-1", "a", "lookup").await;
+    environment.add_reporting("lookup-2", "b", "lookup").await;
+    until_held(&environment).await;
+    until("rulings served", async || {
+        ask(&environment, 0, RULING).await.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("a small buffer");
+    let mut stream = socket.connect(environment.daemons[0].callers).await.expect("connects");
+    let text: String = (0..MANY).map(|at| ruling(&format!("long-{at}"))).collect();
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut before = 0;
+    until("no further request is passed on", async || {
+        tokio::time::sleep(RUN).await;
+        let now = passed_on.load(Ordering::Relaxed);
+        now > 0 && std::mem::replace(&mut before, now) == now
+    })
+    .await;
+    environment.daemons[0].terminate();
+    tokio::time::sleep(READS_ON).await;
+    let mut answered = 0;
+    while read_answer(&mut stream).await.is_some_and(|answer| answer.status == 200) {
+        answered += 1;
+    }
+    assert_eq!(answered, passed_on.load(Ordering::Relaxed), "answers of requests passed on");
+}
