--- a/crates/daemon/src/ingress/connection.rs
+++ b/crates/daemon/src/ingress/connection.rs
@@ -16,8 +16,6 @@
 
 /// Time in which a caller reads the last answer and closes the connection as well.
 const LINGER: Duration = Duration::from_secs(2);
-/// Bytes discarded at a time.
-const DISCARDED: usize = 4 << 10;
 
 /// Requests of one connection whose answers are complete and not wholly written.
 #[derive(Default)]
@@ -49,8 +47,9 @@
     }
 }
 
-/// The end of a connection: nothing is written any more, what the caller still sends is discarded.
-/// Closing with unread bytes would reset the connection, and the last answers with it.
+/// The end of a connection: nothing is written any more, and what the caller still sends stays
+/// unread, so that it is sent again elsewhere. Closing the socket with unread bytes would reset the
+/// connection, and the last answers with it.
 struct Closing {
     timer: Pin<Box<Sleep>>,
     _open: OpenRequest,
@@ -118,14 +117,10 @@
             let timer = Box::pin(tokio::time::sleep(LINGER));
             this.closing = Some(Closing { timer, _open: this.shared.open_request() });
         }
-        let mut bytes = [0; DISCARDED];
-        loop {
-            let mut buffer = ReadBuf::new(&mut bytes);
-            match Pin::new(&mut this.stream).poll_read(context, &mut buffer) {
-                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
-                Poll::Ready(_) => return Poll::Ready(Ok(())),
-                Poll::Pending => break,
-            }
+        let mut byte = [0; 1];
+        match this.stream.poll_peek(context, &mut ReadBuf::new(&mut byte)) {
+            Poll::Ready(Ok(1..)) | Poll::Pending => {}
+            Poll::Ready(_) => return Poll::Ready(Ok(())),
         }
         match &mut this.closing {
             Some(closing) => closing.timer.as_mut().poll(context).map(Ok),
