End the daemon when a task that it can't serve without ends

A long-running task of the control thread or of a worker that panicked stayed ended, and the daemon went on without it: without heartbeats, its entry, the reports' listener, or with other daemons' calls unanswered.

Cause: tokio keeps a task's panic in its handle, which nobody looked at.

Change: `Tasks` starts such tasks; their end or panic is told by a guard within them, as Threads does for threads, and ends the process with exit code 1 and one line. Tasks that may end (the leader's watches of entries) are lost by a panic only. Those that serve one request, connection or fetch still fail alone. An event loop that is dropped with its tasks, as at a stop, tells nothing.

--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -155,7 +155,7 @@
         *leader = Leader { is_leading: leads, term, reports, ..Leader::default() };
         if leads {
             log!(info, Event::Leading, incarnation = self.id());
-            tokio::task::spawn_local(Rc::clone(self).watch_instances(term));
+            self.tasks.spawn_finite("instances", Rc::clone(self).watch_instances(term));
         } else {
             log!(info, Event::NotLeading, incarnation = self.id());
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -28,6 +28,7 @@
 use crate::peer::Links;
 use crate::shared::{Command, Shared, View};
 use crate::signals::Stop;
+use crate::tasks::Tasks;
 use crate::upstream::{Dialect, Upstream};
 use crate::{clock, log, metric, peer_quota};
 
@@ -51,6 +52,7 @@
 /// State of the control thread. No task holds a borrow across an await.
 pub struct Control {
     shared: Arc<Shared>,
+    tasks: Tasks,
     links: Rc<Links>,
     upstream: Rc<Upstream>,
     socket: UdpSocket,
@@ -89,11 +91,12 @@
 }
 
 impl Control {
-    fn new(shared: Arc<Shared>, socket: UdpSocket) -> Control {
+    fn new(shared: Arc<Shared>, socket: UdpSocket, tasks: Tasks) -> Control {
         let upstream = Rc::new(Upstream::new(shared.settings().upstream.address, Dialect::Ordered));
         let platform = Client::new(shared.settings().platform.address);
         Control {
             shared,
+            tasks,
             links: Rc::default(),
             upstream,
             socket,
@@ -227,16 +230,17 @@
     socket: UdpSocket,
     commands: mpsc::UnboundedReceiver<Command>,
     stop: Stop,
+    tasks: &Tasks,
 ) {
-    let control = Rc::new(Control::new(Arc::clone(&shared), socket));
-    tokio::task::spawn_local(Rc::clone(&control).receive());
-    tokio::task::spawn_local(Rc::clone(&control).keep_registered());
-    tokio::task::spawn_local(Rc::clone(&control).keep_fresh());
-    tokio::task::spawn_local(Rc::clone(&control).keep_reporting());
-    tokio::task::spawn_local(Rc::clone(&control).keep_leading());
-    tokio::task::spawn_local(Rc::clone(&control).obey(commands));
-    tokio::task::spawn_local(peer_quota::renew_shares(shared, Rc::clone(&control.links)));
-    tokio::task::spawn_local(Rc::clone(&control).keep_ticking());
+    let control = Rc::new(Control::new(Arc::clone(&shared), socket, tasks.clone()));
+    tasks.spawn("receive", Rc::clone(&control).receive());
+    tasks.spawn("registered", Rc::clone(&control).keep_registered());
+    tasks.spawn("fresh", Rc::clone(&control).keep_fresh());
+    tasks.spawn("reporting", Rc::clone(&control).keep_reporting());
+    tasks.spawn("leading", Rc::clone(&control).keep_leading());
+    tasks.spawn("obey", Rc::clone(&control).obey(commands));
+    tasks.spawn("shares", peer_quota::renew_shares(shared, Rc::clone(&control.links)));
+    tasks.spawn("ticking", Rc::clone(&control).keep_ticking());
     control.until_stopped(stop).await;
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -18,8 +18,9 @@
 use crate::reload::Source;
 use crate::shared::{Addresses, Command, Shared};
 use crate::signals::{Signals, Stop};
+use crate::tasks::Tasks;
 use crate::threads::Threads;
-use crate::{admin, control, fleet, log, metric, reload, worker};
+use crate::{admin, control, fleet, log, metric, reload, tasks, worker};
 
 /// Ports tried when the system may choose one that is free for both TCP and UDP.
 const PORT_TRIES: usize = 50;
@@ -60,16 +61,18 @@
     let (commands, orders) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared::new(settings, bounds, sockets.addresses, commands));
     tell_addresses(&shared);
-    let mut threads = start_threads(sockets.admin, &shared, metrics, log.lost())?;
+    let (tasks, mut lost) = tasks::channel();
+    let mut threads = start_threads(sockets.admin, &shared, &tasks, metrics, log.lost())?;
     let control = async {
         let reloading = reload::keep_settings(source, Arc::clone(&shared), signals.hangup);
-        tokio::task::spawn_local(reloading);
-        tokio::task::spawn_local(log::tell_lost(log.lost()));
+        tasks.spawn("settings", reloading);
+        tasks.spawn("log", log::tell_lost(log.lost()));
         tokio::select! {
-            outcome = run_control(Arc::clone(&shared), sockets.datagrams, orders, signals.stop) => {
+            outcome = run_control(&shared, sockets.datagrams, orders, signals.stop, &tasks) => {
                 outcome
             }
             error = threads.lost() => Err(error),
+            error = lost.wait() => Err(error),
         }
     };
     LocalSet::new().block_on(&runtime, control)?;
@@ -154,6 +157,7 @@
 fn start_threads(
     admin: TcpListener,
     shared: &Arc<Shared>,
+    tasks: &Tasks,
     metrics: PrometheusHandle,
     lost: log::Lost,
 ) -> Result<Threads, Error> {
@@ -161,22 +165,23 @@
     let operators = Arc::clone(shared);
     threads.start(ADMIN, move |life| admin::run(admin, operators, metrics, lost, life))?;
     for at in 0..shared.settings().limits.workers {
-        let shared = Arc::clone(shared);
-        threads.start(&format!("worker-{at}"), move |life| worker::run(shared, life))?;
+        let (shared, tasks) = (Arc::clone(shared), tasks.clone());
+        threads.start(&format!("worker-{at}"), move |life| worker::run(shared, &tasks, life))?;
     }
     Ok(threads)
 }
 
 async fn run_control(
-    shared: Arc<Shared>,
+    shared: &Arc<Shared>,
     datagrams: UdpSocket,
     orders: mpsc::UnboundedReceiver<Command>,
     stop: Stop,
+    tasks: &Tasks,
 ) -> Result<(), Error> {
     let datagrams = tokio::net::UdpSocket::from_std(datagrams)?;
     if shared.is_told() {
-        return fleet::run(shared, datagrams, orders, stop).await;
+        return fleet::run(Arc::clone(shared), datagrams, orders, stop, tasks).await;
     }
-    control::run(shared, datagrams, orders, stop).await;
+    control::run(Arc::clone(shared), datagrams, orders, stop, tasks).await;
     Ok(())
 }
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -30,6 +30,9 @@
     /// A thread ended that serves for as long as the daemon runs.
     #[error("thread {0} ended; hint: its panic stands before this line")]
     ThreadLost(String),
+    /// A task ended that runs for as long as the daemon.
+    #[error("task {0} ended; hint: its panic stands before this line")]
+    TaskLost(&'static str),
 }
 
 impl Error {
@@ -38,7 +41,7 @@
         match self {
             Error::Settings(_) | Error::Bounds(_) => Exit::BadSettings,
             Error::Listen { .. } => Exit::CannotListen,
-            Error::Start(_) | Error::ThreadLost(_) => Exit::Failed,
+            Error::Start(_) | Error::ThreadLost(_) | Error::TaskLost(_) => Exit::Failed,
         }
     }
 }
--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -216,7 +216,7 @@
                 let interval = self.shared.bounds().report_interval;
                 *self.leader.borrow_mut() = Some(Leader::new(asked, revision, interval, now));
                 self.learn_table(next);
-                tokio::task::spawn_local(Rc::clone(self).watch_entries());
+                self.tasks.spawn_finite("entries", Rc::clone(self).watch_entries());
                 self.announce();
                 self.lead_began.notify_waiters();
                 Ok(())
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -32,6 +32,7 @@
 use crate::peer::Links;
 use crate::shared::{Command, Shared};
 use crate::signals::Stop;
+use crate::tasks::Tasks;
 use crate::{clock, peer_quota};
 
 pub use self::publish::place;
@@ -44,6 +45,7 @@
 /// State of the control thread. No task holds a borrow across an await.
 pub struct Fleet {
     shared: Arc<Shared>,
+    tasks: Tasks,
     links: Rc<Links>,
     socket: UdpSocket,
     platform: Client,
@@ -88,10 +90,11 @@
 }
 
 impl Fleet {
-    fn new(shared: Arc<Shared>, socket: UdpSocket) -> Fleet {
+    fn new(shared: Arc<Shared>, socket: UdpSocket, tasks: Tasks) -> Fleet {
         let platform = Client::new(shared.settings().platform.address);
         Fleet {
             shared,
+            tasks,
             links: Rc::default(),
             socket,
             platform,
@@ -155,18 +158,19 @@
     socket: UdpSocket,
     commands: mpsc::UnboundedReceiver<Command>,
     stop: Stop,
+    tasks: &Tasks,
 ) -> Result<(), Error> {
-    let fleet = Rc::new(Fleet::new(Arc::clone(&shared), socket));
+    let fleet = Rc::new(Fleet::new(Arc::clone(&shared), socket, tasks.clone()));
     fleet.listen().await?;
-    tokio::task::spawn_local(Rc::clone(&fleet).receive());
-    tokio::task::spawn_local(Rc::clone(&fleet).keep_config());
-    tokio::task::spawn_local(Rc::clone(&fleet).keep_zones());
-    tokio::task::spawn_local(Rc::clone(&fleet).keep_entry());
-    tokio::task::spawn_local(Rc::clone(&fleet).keep_heartbeats());
-    tokio::task::spawn_local(Rc::clone(&fleet).keep_leading());
-    tokio::task::spawn_local(Rc::clone(&fleet).obey(commands));
-    tokio::task::spawn_local(peer_quota::renew_shares(shared, Rc::clone(&fleet.links)));
-    tokio::task::spawn_local(Rc::clone(&fleet).keep_ticking());
+    tasks.spawn("receive", Rc::clone(&fleet).receive());
+    tasks.spawn("config", Rc::clone(&fleet).keep_config());
+    tasks.spawn("zones", Rc::clone(&fleet).keep_zones());
+    tasks.spawn("entry", Rc::clone(&fleet).keep_entry());
+    tasks.spawn("heartbeats", Rc::clone(&fleet).keep_heartbeats());
+    tasks.spawn("leading", Rc::clone(&fleet).keep_leading());
+    tasks.spawn("obey", Rc::clone(&fleet).obey(commands));
+    tasks.spawn("shares", peer_quota::renew_shares(shared, Rc::clone(&fleet.links)));
+    tasks.spawn("ticking", Rc::clone(&fleet).keep_ticking());
     fleet.until_stopped(stop).await;
     Ok(())
 }
--- a/crates/daemon/src/fleet/reports.rs
+++ b/crates/daemon/src/fleet/reports.rs
@@ -50,8 +50,8 @@
         let ready = TcpListener::from_std(worker::listen(reports.ready)?)?;
         let (listen, asks) = (listener.local_addr()?, ready.local_addr()?);
         log!(info, Event::ListeningForReports, reports = %listen, ready = %asks);
-        tokio::task::spawn_local(Rc::clone(self).accept(listener));
-        tokio::task::spawn_local(Rc::clone(self).accept(ready));
+        self.tasks.spawn("reports", Rc::clone(self).accept(listener));
+        self.tasks.spawn("ready", Rc::clone(self).accept(ready));
         Ok(())
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod reload;
 mod shared;
 mod signals;
+pub mod tasks;
 mod threads;
 mod upstream;
 mod worker;
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -16,6 +16,7 @@
 use crate::ingress;
 use crate::peer::{Links, serve_peers};
 use crate::shared::Shared;
+use crate::tasks::Tasks;
 use crate::threads::Life;
 use crate::upstream::{Dialect, Upstream};
 
@@ -107,7 +108,7 @@
 ///
 /// # Errors
 /// A listener or the event loop can't be started.
-pub fn run(shared: Arc<Shared>, life: &Life) -> Result<(), Error> {
+pub fn run(shared: Arc<Shared>, tasks: &Tasks, life: &Life) -> Result<(), Error> {
     let callers = listen(shared.addresses.callers)?;
     let peers = listen(shared.addresses.peers)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -127,7 +128,7 @@
             random: RefCell::new(fastrand::Rng::new()),
         });
         life.serves();
-        tokio::task::spawn_local(serve_peers(peers, Arc::clone(&shared), upstream));
+        tasks.spawn("peers", serve_peers(peers, Arc::clone(&shared), upstream));
         ingress::serve_callers(callers, worker).await;
         finish(&shared).await;
         Ok(())
