--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod shared;
 mod signals;
 pub mod stall;
+pub mod tasks;
 mod threads;
 mod upstream;
 mod worker;
