--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -82,8 +82,13 @@
 
 /// The same with lines in each daemon's table of limits.
 pub async fn deployment_with(limits: &str) -> Environment {
+    deployment_of(|environment| environment.extra_settings = limits.to_owned()).await
+}
+
+/// The same, prepared before anything starts.
+pub async fn deployment_of(prepare: impl FnOnce(&mut Environment)) -> Environment {
     let mut environment = Environment::new().await;
-    environment.extra_settings = limits.to_owned();
+    prepare(&mut environment);
     environment.store("config", "main", &config(1)).await;
     for (name, zone, service) in [
         ("lookup-1", "a", "lookup"),
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -12,4 +12,5 @@
 mod path;
 mod pipelines;
 mod reload;
+mod silence;
 mod stops;
