Have soak callers ask stopping daemons until these are gone

Runs took 5 ms, and callers stayed with daemons that hadn't been stopped.

The change: runs take 40 ms, and callers stay for a drawn number of requests.

--- a/crates/daemon/tests/soak/caller.rs
+++ b/crates/daemon/tests/soak/caller.rs
@@ -89,7 +89,9 @@
         while !self.board.is_over() {
             let entries = self.board.entries.lock().expect("no holder panics").clone();
             let entry = entries[self.random.usize(0..entries.len())];
-            self.ask_at(entry, usize::MAX).await;
+            // Some stay for a few requests only: daemons that stop are asked until they are gone.
+            let most = self.count + (1 << self.random.u32(0..9));
+            self.ask_at(entry, most).await;
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
--- a/crates/daemon/tests/soak/schedule.rs
+++ b/crates/daemon/tests/soak/schedule.rs
@@ -8,6 +8,8 @@
 pub const DAEMONS: usize = 5;
 /// Time within which disturbances begin.
 const SPAN_MS: u64 = 16_000;
+/// Usual time of a run: so long that requests are under way at each moment of a stop.
+const RUN_MS: u64 = 40;
 /// Disturbances of a session.
 const COUNT: std::ops::Range<usize> = 10..24;
 
@@ -62,7 +64,7 @@
 
 /// Draws a session.
 pub fn schedule(random: &mut Rng, kinds: Kinds) -> Vec<Timed> {
-    let mut steps = Vec::new();
+    let mut steps = vec![(0, Step::Slow(RUN_MS))];
     for _ in 0..random.usize(COUNT) {
         let at = random.u64(0..SPAN_MS);
         let daemon = random.usize(0..DAEMONS);
@@ -76,7 +78,7 @@
             2 | 3 => vec![(0, Step::Terminate(daemon)), (random.u64(0..40), Step::HangUp(daemon))],
             4 => vec![(0, Step::Configure)],
             5 => edit(random, daemon),
-            6 => vec![(0, Step::Slow(random.u64(5..300))), (2_000, Step::Slow(5))],
+            6 => vec![(0, Step::Slow(random.u64(5..300))), (2_000, Step::Slow(RUN_MS))],
             7 | 8 => pause(random, daemon),
             9 => vec![(0, Step::Kill(daemon)), (random.u64(0..1_500), Step::Start(daemon))],
             10 => {
