--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -82,19 +82,18 @@
 
 /// The same with lines in each daemon's table of limits.
 pub async fn deployment_with(limits: &str) -> Environment {
-    let mut environment = Environment::new().await;
-    environment.extra_settings = limits.to_owned();
-    fill(environment).await
+    deployment_of(|environment| environment.extra_settings = limits.to_owned()).await
 }
 
 /// The same with a time from SIGTERM to SIGKILL.
 pub async fn deployment_with_grace(grace: Duration) -> Environment {
-    let mut environment = Environment::new().await;
-    environment.grace = grace;
-    fill(environment).await
+    deployment_of(|environment| environment.grace = grace).await
 }
 
-async fn fill(mut environment: Environment) -> Environment {
+/// The same, prepared before anything starts.
+pub async fn deployment_of(prepare: impl FnOnce(&mut Environment)) -> Environment {
+    let mut environment = Environment::new().await;
+    prepare(&mut environment);
     environment.store("config", "main", &config(1)).await;
     for (name, zone, service) in [
         ("lookup-1", "a", "lookup"),
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -15,5 +15,6 @@
 mod path;
 mod pipelines;
 mod reload;
+mod silence;
 mod stalls;
 mod stops;
