--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -53,7 +53,6 @@
 #[derive(Clone, Debug)]
 pub struct Leader {
     lessor: Lessor,
-    since: Time,
     /// Nothing while it isn't known what the object holds.
     revision: Option<Revision>,
     announced: BTreeMap<String, (HolderId, Member)>,
@@ -71,9 +70,10 @@
     looked: Time,
     /// When it was last called.
     called: Time,
-    /// Members that were heard when it stood still, and when it ran again: what they sent meanwhile
-    /// may lie unread.
-    unread: BTreeMap<HolderId, Time>,
+    /// Time for which it ran so far: where it stood still, what members sent may lie unread.
+    ran: Duration,
+    /// How long it had run when each member was last renewed.
+    heard: BTreeMap<HolderId, Duration>,
     lag: Lag,
     balanced: Time,
     /// When the latest table was stored.
@@ -86,7 +86,6 @@
     pub fn new(asked: Time, revision: Revision, report_interval: Duration, now: Time) -> Leader {
         Leader {
             lessor: Lessor::new(asked, now),
-            since: now,
             revision: Some(revision),
             announced: BTreeMap::new(),
             is_listed: false,
@@ -99,7 +98,8 @@
             silent: Vec::new(),
             looked: Time::ZERO,
             called: now,
-            unread: BTreeMap::new(),
+            ran: Duration::ZERO,
+            heard: BTreeMap::new(),
             lag: Lag::default(),
             balanced: now,
             written: now,
@@ -155,6 +155,9 @@
         }
         let follows = heartbeat.term == table.term;
         let may = from != 0 && !self.ended.contains(&from) && self.lessor.renew(from, follows, now);
+        if may {
+            self.heard.insert(from, self.ran);
+        }
         self.look_for_silence(table, now);
         Renewal {
             sent: heartbeat.sent,
@@ -165,29 +168,21 @@
         }
     }
 
-    /// Notes that it runs. Silence from before counts anew where it stood still.
+    /// Notes that it runs. A time without a call in which it stood still counts as one look.
     fn run(&mut self, now: Time) {
-        let before = self.called;
-        self.called = before.max(now);
-        self.lag.note(now.saturating_sub(before), now);
-        if now < before + STOOD_STILL {
-            return;
-        }
-        if before <= self.since + SILENT {
-            self.since = now;
-        }
-        let heard = self.lessor.holders().filter(|id| self.is_heard(*id, before));
-        let heard: Vec<HolderId> = heard.collect();
-        self.unread.extend(heard.into_iter().map(|id| (id, now)));
+        let gap = now.saturating_sub(self.called);
+        self.called = self.called.max(now);
+        self.lag.note(gap, now);
+        self.ran += if gap < STOOD_STILL { gap } else { LOOK };
     }
 
     /// Works out who is silent, at most once in a while: each heartbeat is answered with it.
     fn look_for_silence(&mut self, table: &Table, now: Time) {
-        if now < self.looked + LOOK || now <= self.since + SILENT {
+        if now < self.looked + LOOK || self.ran <= SILENT {
             return;
         }
         self.looked = now;
-        let silent = table.members.keys().filter(|id| !self.is_heard(**id, now));
+        let silent = table.members.keys().filter(|id| !self.is_heard(**id));
         self.silent = silent.copied().take(MOST_SILENT).collect();
     }
 
@@ -222,7 +217,7 @@
         self.samples.retain(|id, _| table.members.contains_key(id));
         self.reports.retain(|id, _| table.members.contains_key(id));
         self.lessor.retain(|id| table.members.contains_key(&id));
-        self.unread.retain(|id, _| table.members.contains_key(id));
+        self.heard.retain(|id, _| table.members.contains_key(id));
     }
 
     /// The object wasn't at the expected revision. Holders that an unanswered write took ranges
@@ -256,7 +251,7 @@
             // Zones that are out, and load, concern servers only.
             let is_in = |zone: &str| is_internal(service) || is_zone_in(zone);
             let facts = self.facts(&next, is_in, now);
-            let servers = self.servers(service, &facts, now);
+            let servers = self.servers(service, &facts);
             let samples = servers.iter().filter_map(|server| self.samples.get(&server.id));
             let traffic = Traffic::new(samples);
             let before = next.services.get(service).cloned();
@@ -308,25 +303,24 @@
         holders.filter(is_gone).collect()
     }
 
-    fn is_heard(&self, id: HolderId, now: Time) -> bool {
-        let (heard, unread) = (self.lessor.heard(id), self.unread.get(&id).copied());
-        heard.max(unread).is_some_and(|at| now < at + SILENT)
+    fn is_heard(&self, id: HolderId) -> bool {
+        self.heard.get(&id).is_some_and(|at| self.ran < *at + SILENT)
     }
 
     /// Whether a member's authority has surely ended and what it sent since was read.
     fn has_lapsed(&self, id: HolderId, now: Time) -> bool {
-        self.lessor.has_lapsed(id, now) && !self.is_heard(id, now)
+        self.lessor.has_lapsed(id, now) && !self.is_heard(id)
     }
 
     /// Servers of a service that may be given ranges.
-    fn servers(&self, service: &str, facts: &Facts, now: Time) -> Vec<Server> {
+    fn servers(&self, service: &str, facts: &Facts) -> Vec<Server> {
         let fit = self.announced.values().filter(|(id, member)| {
             (member.service == service || is_internal(service))
                 && member.serves
                 && !facts.gone.contains(id)
                 && !facts.leaving.contains(id)
                 && !self.ended.contains(id)
-                && self.is_heard(*id, now)
+                && self.is_heard(*id)
         });
         let none = Sample::default();
         let servers = fit.map(|(id, _)| {
--- a/crates/ownership/src/lessor.rs
+++ b/crates/ownership/src/lessor.rs
@@ -75,16 +75,6 @@
         may
     }
 
-    /// When the holder last renewed here.
-    pub fn heard(&self, holder: HolderId) -> Option<Time> {
-        self.renewals.get(&holder).map(|renewed| renewed.at)
-    }
-
-    /// Holders that renewed here.
-    pub fn holders(&self) -> impl Iterator<Item = HolderId> + '_ {
-        self.renewals.keys().copied()
-    }
-
     /// Whether the holder's authority has surely ended.
     pub fn has_lapsed(&self, holder: HolderId, now: Time) -> bool {
         match self.renewals.get(&holder) {
--- a/crates/ownership/tests/leader.rs
+++ b/crates/ownership/tests/leader.rs
@@ -181,3 +181,15 @@
     let renewal = session.leader.hear(MEMBERS[0], fresh, &session.table, session.now);
     assert_eq!(renewal.lease, LEASE);
 }
+
+#[test]
+fn a_member_that_is_gone_is_told_by_a_leader_that_stands_still_again_and_again() {
+    for (still, running) in [(700, 300), (900, 200), (600, 900)] {
+        let mut session = Session::new();
+        for _ in 0..20 {
+            session.stand_still(Duration::from_millis(still));
+            session.run(Duration::from_millis(running), &MEMBERS[1..]);
+        }
+        assert!(!session.holders().contains(&MEMBERS[0]), "{still} ms still, {running} ms running");
+    }
+}
