--- a/crates/daemon/src/ingress/answer.rs
+++ b/crates/daemon/src/ingress/answer.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactushold_wire::schema::body;
 use futures::Stream;
 use hyper::body::{Frame, SizeHint};
 use hyper::{Response, StatusCode};
 
 use crate::exchange::{Answer, INTERNAL_PREFIX, Refusal, Reply, Rest};
 use crate::ingress::connection::{Open, Unwritten};
+use crate::peer::Link;
 use crate::shared::OpenRequest;
 
 type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, Cut>>>>;
@@ -147,17 +149,26 @@
             Ok(piece.map(|piece| (piece, Some((None, Rest::Local(stream))))))
         }
         Rest::Remote(body, link) => {
-            let answer = body.read_request().send().promise.await.map_err(|_| Cut)?;
-            let answer = answer.get().map_err(|_| Cut)?;
-            if answer.get_end() {
-                return Ok(None);
-            }
-            let piece = Bytes::copy_from_slice(answer.get_chunk().map_err(|_| Cut)?);
-            Ok(Some((piece, Some((None, Rest::Remote(body, link))))))
+            let piece = read_remote(&body, &link).await?;
+            Ok(piece.map(|piece| (piece, Some((None, Rest::Remote(body, link))))))
         }
     }
 }
 
+/// The next piece of a body that comes over a connection; nothing at the end.
+async fn read_remote(body: &body::Client, link: &Rc<Link>) -> Result<Option<Bytes>, Cut> {
+    let _open = link.start();
+    let answer = tokio::select! {
+        answer = body.read_request().send().promise => answer.map_err(|_| Cut)?,
+        () = link.lost() => return Err(Cut),
+    };
+    let answer = answer.get().map_err(|_| Cut)?;
+    if answer.get_end() {
+        return Ok(None);
+    }
+    Ok(Some(Bytes::copy_from_slice(answer.get_chunk().map_err(|_| Cut)?)))
+}
+
 fn refuse(refusal: &Refusal, style: Style) -> Response<Content> {
     let kind = refusal.kind;
     let body = ErrorBody {
