Charge each hedge that is sent, and send none to the holder that is in doubt

By review (by reading): once the budget had refused a keyed hedge, later ones of the same request went without it, so that a holder of many keys that stood still could draw second arrivals beyond the platform's bound when its keys moved. After a misdirected first attempt, a hedge could go to the very holder that was in doubt, a second run there. And an attempt after a lost connection was hedged at once, since the doubt of the one before it stood.

A hedge needs a charge that no sent attempt has used up; the holder that is left out is the one where an attempt is under way; a new attempt begins without doubt.

--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -84,6 +84,7 @@
                         if !pause.is_zero() {
                             tokio::time::sleep(pause).await;
                         }
+                        doubt.lower();
                         running.push(attempt(worker, &request, plan.choose()?, &doubt));
                     }
                 }
@@ -113,6 +114,10 @@
         self.raised.notify_one();
     }
 
+    fn lower(&self) {
+        self.is_raised.set(false);
+    }
+
     /// Resolves once it is raised.
     async fn wait(&self) {
         while !self.is_raised.get() {
@@ -137,14 +142,16 @@
     worker: &'a Rc<Worker>,
     request: &'a Request,
     targets: Targets,
-    /// Where the first attempt went.
-    first: Option<Incarnation>,
+    /// Where the attempt is under way beside which a hedge may run.
+    under_way: Option<Incarnation>,
     failures: u32,
     /// Failures by a lost connection.
     losses: u32,
     /// Attempts that were handed to an upstream.
     sent: u32,
     hedged: bool,
+    /// Whether the budget was charged for a hedge that may still be sent.
+    is_hedge_paid: bool,
     wait: GrantWait,
     /// What is told if no attempt succeeds.
     last: Refusal,
@@ -160,11 +167,12 @@
             worker,
             request,
             targets,
-            first: None,
+            under_way: None,
             failures: 0,
             losses: 0,
             sent: 0,
             hedged: false,
+            is_hedge_paid: false,
             wait,
             last,
         }
@@ -173,7 +181,7 @@
     /// The next target, and how long the request would take at another one.
     fn choose(&mut self) -> Result<Destination, Refusal> {
         let target = self.target()?;
-        self.first.get_or_insert(target);
+        self.under_way = Some(target);
         let shared = &self.worker.shared;
         let elsewhere = match shared.is_told() {
             true => self.targets.elsewhere(shared, &shared.view(), self.request, clock::now()),
@@ -223,13 +231,17 @@
         let view = shared.view();
         if request.key.is_some() {
             let turn = self.failures as usize;
-            self.targets = Targets::except(shared, &view, request, self.first?, turn);
+            self.targets = Targets::except(shared, &view, request, self.under_way?, turn);
+        }
+        self.hedged = true;
+        if !self.targets.has_untried(&view, &request.service) {
+            return None;
         }
         // Without reports, another holder of a key runs nothing before the first one's lease is over.
         let is_free = request.key.is_some() && !shared.is_told();
-        let has_room = self.hedged || is_free || self.worker.budget(&request.service).spend();
-        self.hedged = true;
-        if !has_room || !self.targets.has_untried(&view, &request.service) {
+        let is_paid = self.is_hedge_paid || is_free || self.worker.budget(&request.service).spend();
+        self.is_hedge_paid = is_paid;
+        if !is_paid {
             return None;
         }
         let mut random = self.worker.random.borrow_mut();
@@ -251,6 +263,7 @@
         self.failures += 1;
         self.losses += u32::from(refusal.kind == Kind::LinkLost);
         self.sent += u32::from(refusal.is_sent);
+        self.is_hedge_paid &= !refusal.is_sent;
         let (kind, is_sent) = (refusal.kind, refusal.is_sent);
         if self.targets.is_moving() {
             self.wait.note_move();
