--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -22,6 +22,9 @@
 /// within some tens of milliseconds.
 const SETTLE: Duration = Duration::from_millis(200);
 
+/// Looks after which a file that changes all the time is read as it is.
+const MOST_LOOKS: usize = 10;
+
 /// Tells one state of a file from another, without reading it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Stamp {
@@ -59,28 +62,26 @@
         Stamp::of(&self.path) != self.stamp
     }
 
-    /// Waits until nobody writes to the file.
-    async fn settle(&mut self) {
-        self.stamp = Stamp::of(&self.path);
-        loop {
+    /// Reads the file once nobody writes to it; one that changes all the time is read as it is.
+    async fn read(&mut self) -> Result<Settings, Error> {
+        for _ in 0..MOST_LOOKS {
+            self.stamp = Stamp::of(&self.path);
             tokio::time::sleep(SETTLE).await;
+            if self.is_changed() {
+                continue;
+            }
+            let read = read(&self.path);
             if !self.is_changed() {
-                return;
+                return read;
             }
-            self.stamp = Stamp::of(&self.path);
         }
+        self.stamp = Stamp::of(&self.path);
+        read(&self.path)
     }
 
     /// Puts a changed file in force; one that is refused changes nothing.
     async fn reload(&mut self, shared: &Shared) {
-        let read = loop {
-            self.settle().await;
-            let read = read(&self.path);
-            if !self.is_changed() {
-                break read;
-            }
-        };
-        match read.and_then(|settings| apply(settings, shared)) {
+        match self.read().await.and_then(|settings| apply(settings, shared)) {
             Ok(outcome) => metric::reloaded(outcome),
             Err(error) => {
                 log!(warn, Event::SettingsRefused, reason = %error);
