--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -22,7 +22,7 @@
 
 /// Runs a request at the upstream, or tells truly that it did not run.
 pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
-    check_open(shared)?;
+    check_open(shared, request)?;
     check_place(shared, request)?;
     check_outlook(shared, request)?;
     match &request.idempotency_key {
@@ -31,8 +31,12 @@
     }
 }
 
-/// Whether a daemon that is leaving still takes requests from others.
-fn check_open(shared: &Shared) -> Result<(), Refusal> {
+/// Whether a daemon that is leaving still takes requests from others. Without reports it hands its
+/// slices over, and serves each of them until then.
+fn check_open(shared: &Shared, request: &Request) -> Result<(), Refusal> {
+    if request.key.is_some() && !shared.is_told() {
+        return Ok(());
+    }
     match shared.shutdown() {
         Some(shutdown) if clock::now() >= shutdown.closes_at() => Err(Refusal::new(Kind::Draining)),
         _ => Ok(()),
