Have every wait of a request end with a stop, by the clock that the limit is of

By review (by reading): the pauses between attempts and for a token of a workspace's rate didn't look at a stop's limit, so that a request that was taken before SIGTERM could outlast the process; and the times of a stop were awaited with timers that a machine's sleep holds up, while they are read from a clock that goes on.

--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -81,9 +81,7 @@
                     Step::Finish(answer) => return *answer,
                     Step::Wait => {}
                     Step::Again(pause) => {
-                        if !pause.is_zero() {
-                            tokio::time::sleep(pause).await;
-                        }
+                        plan.pause_for(pause).await?;
                         doubt.lower();
                         running.push(attempt(worker, &request, plan.choose()?, &doubt));
                     }
@@ -178,6 +176,20 @@
         }
     }
 
+    /// Waits before another attempt; nothing was left running.
+    ///
+    /// # Errors
+    /// The daemon stops before that.
+    async fn pause_for(&self, pause: Duration) -> Result<(), Refusal> {
+        if pause.is_zero() {
+            return Ok(());
+        }
+        tokio::select! {
+            () = tokio::time::sleep(pause) => Ok(()),
+            () = self.worker.shared.stop_limit() => Err(self.told()),
+        }
+    }
+
     /// The next target, and how long the request would take at another one.
     fn choose(&mut self) -> Result<Destination, Refusal> {
         let target = self.target()?;
--- a/crates/daemon/src/ingress/rate.rs
+++ b/crates/daemon/src/ingress/rate.rs
@@ -101,10 +101,13 @@
     match token {
         Ok(wait) if now + wait >= deadline => Err(Refusal::new(Kind::Expired)),
         Ok(wait) => {
-            if !wait.is_zero() {
-                tokio::time::sleep(wait).await;
+            if wait.is_zero() {
+                return Ok(());
+            }
+            tokio::select! {
+                () = tokio::time::sleep(wait) => Ok(()),
+                () = worker.shared.stop_limit() => Err(Refusal::new(Kind::Draining)),
             }
-            Ok(())
         }
         Err(wait) => {
             worker.shared.quota().refused(workspace, wait, now);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -301,7 +301,7 @@
         let began = shutdown.wait_for(Option::is_some).await;
         let limit = began.ok().and_then(|began| began.map(Shutdown::limit));
         match limit {
-            Some(limit) => tokio::time::sleep_until(clock::instant(limit)).await,
+            Some(limit) => clock::sleep_until(limit).await,
             None => std::future::pending().await,
         }
     }
