Give up a call only for dials that failed elsewhere, and not sooner than a cut allows

By review: two failed dials counted as proof that a daemon was gone though they failed here (no descriptor left, a dial just before); after a cut of some seconds the older connection's bytes come as much later, when a new connection has long answered; a check went on though nobody waited any more; each connection told the same stall of its thread.

Only dials that failed at the other end or on the way count; what is owed waits for as long as the silence lasted, 600 ms at least; a check ends with the last call; a stall is told once. What arrives over a connection is a module of its own.

--- /dev/null
+++ b/crates/daemon/src/peer/heard.rs
@@ -0,0 +1,66 @@
+//! Signs of life on a connection.
+
+use std::cell::Cell;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use cactushold_lease::Time;
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// What arrives over a connection, of whichever call: each byte is a sign of life.
+#[derive(Default)]
+pub struct Heard {
+    at: Cell<Time>,
+    news: Notify,
+}
+
+impl Heard {
+    /// When something arrived last.
+    pub fn at(&self) -> Time {
+        self.at.get()
+    }
+
+    /// Resolves when something arrives after it was first polled.
+    pub async fn news(&self) {
+        self.news.notified().await;
+    }
+
+    fn note(&self, now: Time) {
+        self.at.set(now);
+        self.news.notify_waiters();
+    }
+}
+
+/// The receiving half of a connection; notes what arrives.
+pub struct Receiver {
+    half: OwnedReadHalf,
+    heard: Rc<Heard>,
+}
+
+impl Receiver {
+    /// Notes what arrives over `half`.
+    pub fn new(half: OwnedReadHalf, heard: Rc<Heard>) -> Receiver {
+        Receiver { half, heard }
+    }
+}
+
+impl AsyncRead for Receiver {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.half).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.heard.note(clock::now());
+        }
+        polled
+    }
+}
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -6,22 +6,20 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use cactushold_lease::Time;
 use cactushold_wire::schema::peer;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::{Mutex, Notify, watch};
+use tokio::sync::{Mutex, watch};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::event::Event;
+use crate::peer::heard::{Heard, Receiver};
 use crate::{clock, log, metric, stall};
 
 /// Time in which a connection has to come about.
@@ -32,7 +30,7 @@
 const PROBE: Duration = Duration::from_millis(200);
 /// Time in which the probe of another connection to a suspect daemon is answered if that runs.
 const SECOND_PROBE: Duration = Duration::from_secs(1);
-/// Time in which what a daemon owes over a connection arrives once it answers over another one.
+/// Least time in which what a daemon owes over a connection arrives once it answers over another one.
 const OWED: Duration = Duration::from_millis(600);
 /// After a failed dial, the next one waits this long.
 const REDIAL: Duration = Duration::from_millis(20);
@@ -45,8 +43,9 @@
     pub peer: peer::Client,
     address: SocketAddr,
     heard: Rc<Heard>,
+    /// Calls under way, and since when there is one all the time.
     open: Cell<u32>,
-    oldest: Cell<Time>,
+    busy_since: Cell<Time>,
     is_watched: Cell<bool>,
     state: watch::Sender<State>,
     siblings: Weak<Table>,
@@ -66,46 +65,11 @@
 /// A call under way, until this is dropped.
 pub struct Open<'a>(&'a Link);
 
-/// What arrives over a connection, of whichever call: each byte is a sign of life.
-#[derive(Default)]
-struct Heard {
-    at: Cell<Time>,
-    news: Notify,
-}
-
-impl Heard {
-    fn note(&self) {
-        self.at.set(clock::now());
-        self.news.notify_waiters();
-    }
-}
-
-/// The receiving half of a connection; notes what arrives.
-struct Receiver {
-    half: OwnedReadHalf,
-    heard: Rc<Heard>,
-}
-
-impl AsyncRead for Receiver {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.half).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.heard.note();
-        }
-        polled
-    }
-}
-
 impl Link {
     /// Notes that a call starts.
     pub fn start(self: &Rc<Link>) -> Open<'_> {
         if self.open.get() == 0 {
-            self.oldest.set(clock::now());
+            self.busy_since.set(clock::now());
         }
         self.open.set(self.open.get() + 1);
         if !self.is_watched.replace(true) {
@@ -149,13 +113,14 @@
     }
 
     fn quiet_since(&self) -> Time {
-        self.oldest.get().max(self.heard.at.get())
+        self.busy_since.get().max(self.heard.at())
     }
 
     /// Probes the connection for as long as calls are open and nothing is heard.
     async fn watch(self: Rc<Link>) {
         while self.open.get() > 0 && self.state() != State::Lost {
-            stall::tell("worker", stall::sleep(QUIET / 2).await);
+            let late = stall::sleep(QUIET / 2).await;
+            self.tell_stall(late, clock::now());
             if self.open.get() > 0 && self.is_quiet(clock::now()) {
                 self.probe().await;
             }
@@ -170,7 +135,7 @@
         let mut sign = pin!(async {
             tokio::select! {
                 answer = probe => answer.is_ok(),
-                () = self.heard.news.notified() => true,
+                () = self.heard.news() => true,
             }
         });
         let mut is_alive = stall::timeout(PROBE, &mut sign).await;
@@ -179,7 +144,7 @@
             self.tell_silence(asked, clock::now());
             is_alive = tokio::select! {
                 is_alive = &mut sign => Some(is_alive),
-                () = self.is_disproved() => None,
+                () = self.until_given_up() => None,
             };
         }
         self.set(if is_alive == Some(true) { State::Working } else { State::Lost });
@@ -187,18 +152,22 @@
 
     /// Returns once other connections show that no answer will come over this one: the daemon
     /// answers there, or can't be reached at all. What it owes here still gets the time to arrive.
-    async fn is_disproved(&self) {
+    async fn until_given_up(&self) {
         let Some(siblings) = self.siblings.upgrade() else { return };
         let check = siblings.check_of(self.address);
         // One check of a daemon at a time: more connections make a slow one slower.
         let _checking = check.lock().await;
         siblings.forget(self);
         let mut dials = 0;
-        while dials < MAX_DIALS {
-            let Ok(other) = Table::get(&siblings, self.address).await else {
-                dials += 1;
-                tokio::time::sleep(2 * REDIAL).await;
-                continue;
+        // Without a call open, nobody waits for the outcome.
+        while dials < MAX_DIALS && self.open.get() > 0 {
+            let other = match Table::get(&siblings, self.address).await {
+                Ok(other) => other,
+                Err(error) => {
+                    dials += u32::from(is_unreachable(&error));
+                    tokio::time::sleep(2 * REDIAL).await;
+                    continue;
+                }
             };
             dials = 0;
             let probe = other.peer.share_request().send().promise;
@@ -208,7 +177,18 @@
                 None => siblings.forget(&other),
             }
         }
-        stall::timeout(OWED, std::future::pending::<()>()).await;
+        // What was sent during a cut is sent again after as long a time as the cut lasted.
+        let owed = OWED.max(clock::now().saturating_sub(self.quiet_since()));
+        stall::timeout(owed, std::future::pending::<()>()).await;
+    }
+
+    /// Tells a stall of the thread, unless another connection has told it.
+    fn tell_stall(&self, late: Duration, now: Time) {
+        let Some(siblings) = self.siblings.upgrade() else { return };
+        if now.saturating_sub(late) >= siblings.stalled.get() {
+            siblings.stalled.set(now);
+            stall::tell("worker", late);
+        }
     }
 
     fn tell_silence(&self, asked: Time, now: Time) {
@@ -240,6 +220,8 @@
 struct Table {
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     failed: RefCell<HashMap<SocketAddr, Time>>,
+    /// When the latest stall of the thread ended that was looked at.
+    stalled: Cell<Time>,
     /// Held while a suspect connection to the daemon is looked into.
     checks: RefCell<HashMap<SocketAddr, Rc<Mutex<()>>>>,
 }
@@ -268,7 +250,7 @@
             return Ok(Rc::clone(link));
         }
         if this.failed.borrow().get(&address).is_some_and(|at| now < *at + REDIAL) {
-            return Err(std::io::ErrorKind::ConnectionRefused.into());
+            return Err(std::io::Error::other("it was just dialled in vain"));
         }
         match dial(address, Rc::downgrade(this)).await {
             Ok(link) => {
@@ -308,13 +290,24 @@
     }
 }
 
+/// Whether a dial failed at the other end or on the way there, rather than here.
+fn is_unreachable(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{
+        ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut,
+    };
+    matches!(
+        error.kind(),
+        ConnectionRefused | ConnectionReset | HostUnreachable | NetworkUnreachable | TimedOut
+    )
+}
+
 async fn dial(address: SocketAddr, siblings: Weak<Table>) -> std::io::Result<Rc<Link>> {
     let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     let (half, writer) = stream.into_split();
     let heard = Rc::new(Heard::default());
-    let reader = Receiver { half, heard: Rc::clone(&heard) };
+    let reader = Receiver::new(half, Rc::clone(&heard));
     let network = VatNetwork::new(
         futures::io::BufReader::new(reader.compat()),
         futures::io::BufWriter::new(writer.compat_write()),
@@ -336,7 +329,7 @@
             address,
             heard,
             open: Cell::new(0),
-            oldest: Cell::new(Time::ZERO),
+            busy_since: Cell::new(Time::ZERO),
             is_watched: Cell::new(false),
             state: watch::Sender::new(State::Working),
             siblings,
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Calls between daemons, by capnp-rpc.
 
 mod convert;
+mod heard;
 mod link;
 mod server;
 
