End a stopping process only once other daemons have stopped forwarding

Cause, by reading: a stopping daemon ended 10 to 20 ms after its last request. A request that another daemon had forwarded meanwhile, by a table that it was about to replace, met the end of the process unread, and an answer could still lie in a connection's buffer; to the other daemon both look like a request that was sent.

--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -89,7 +89,9 @@
         params: peer::ForwardParams,
         mut results: peer::ForwardResults,
     ) -> Result<(), capnp::Error> {
-        let request = convert::read_request(params.get()?.get_request()?, clock::now())?;
+        let now = clock::now();
+        self.shared.note_forwarded(now);
+        let request = convert::read_request(params.get()?.get_request()?, now)?;
         let request = self.shared.bounded(&request).into_owned();
         let answer = guard::serve(&self.shared, &self.upstream, &request).await;
         let outlook = self.shared.guard().outlook(request.route, clock::now());
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -138,6 +138,8 @@
     attempts: AtomicU64,
     shutdown: watch::Sender<Option<Shutdown>>,
     open: AtomicUsize,
+    /// When another daemon forwarded the latest request, in microseconds.
+    forwarded_us: AtomicU64,
     /// To the control thread.
     pub commands: mpsc::UnboundedSender<Command>,
     /// Turns true when listeners have to close.
@@ -189,6 +191,7 @@
             attempts: AtomicU64::new(fastrand::u64(..1 << 40) << 20),
             shutdown: watch::Sender::new(None),
             open: AtomicUsize::new(0),
+            forwarded_us: AtomicU64::new(0),
             commands,
             stop: watch::Sender::new(false),
             stop_politely: watch::Sender::new(false),
@@ -311,6 +314,16 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Notes that another daemon forwarded a request.
+    pub fn note_forwarded(&self, now: Time) {
+        self.forwarded_us.store(now.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// When another daemon forwarded the latest request.
+    pub fn forwarded_at(&self) -> Time {
+        Duration::from_micros(self.forwarded_us.load(Ordering::Relaxed))
+    }
+
     /// Counts a caller's request until the returned value is dropped.
     pub fn open_request(self: &Arc<Shared>) -> OpenRequest {
         self.open.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/src/worker.rs
+++ b/crates/daemon/src/worker.rs
@@ -158,14 +158,21 @@
 /// requests that change their route, count besides.
 const BOUND_PART: f64 = 0.6;
 
-/// Waits for open requests, within the limit for a graceful shutdown.
+/// Time without a request from another daemon after which none is on its way here any more, and
+/// every answer has left.
+const PEERS_QUIET: Duration = Duration::from_millis(200);
+
+/// Waits for open requests, within the limit for a graceful shutdown, and refuses those that other
+/// daemons still forward: one that the end of the process meets unread counts as sent.
 async fn finish(shared: &Shared) {
     let end = shared.shutdown().map_or_else(clock::now, Shutdown::end);
     let idle = async {
         let mut looks = 0;
         while looks < IDLE_LOOKS {
             tokio::time::sleep(POLL_STOP).await;
-            let is_busy = shared.open_requests() > 0 || shared.guard().busy() > 0;
+            let is_busy = shared.open_requests() > 0
+                || shared.guard().busy() > 0
+                || clock::now() < shared.forwarded_at() + PEERS_QUIET;
             looks = if is_busy { 0 } else { looks + 1 };
         }
     };
