--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -7,6 +7,7 @@
 mod pipeline;
 mod rate;
 mod route;
+mod send;
 mod targets;
 
 pub use self::rate::owners;
