Let signals without a meaning end no daemon, and have SIGQUIT stop it gracefully

Nobody sends them today; nobody sent SIGHUP either.

Change: handlers are installed for these signals together with the others, and nobody waits for them; SIGQUIT asks for a graceful stop. Signals that tell of a fault of the process itself (SIGSEGV, SIGABRT, ..) and those that stop it from a terminal keep their effect.

Ruled out: SIG_IGN, for which the workspace has no safe call.

--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -4,8 +4,23 @@
 
 use std::io;
 
+use rustix::process::Signal as Number;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// Signals without a meaning here that end a process: other programs send them, and the system does
+/// at a limit of processor time or of a file's size.
+const UNUSED: [Number; 9] = [
+    Number::USR1,
+    Number::USR2,
+    Number::ALARM,
+    Number::VTALARM,
+    Number::PROF,
+    Number::IO,
+    Number::POWER,
+    Number::XCPU,
+    Number::XFSZ,
+];
+
 /// Signals that the daemon handles. Those that arrive before they are waited for are kept.
 pub struct Signals {
     /// Ask for a graceful shutdown.
@@ -23,8 +38,14 @@
         let stop = Stop {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            quit: signal(SignalKind::quit())?,
         };
-        Ok(Signals { stop, hangup: signal(SignalKind::hangup())? })
+        let hangup = signal(SignalKind::hangup())?;
+        // A handler stays although nobody waits for its signal.
+        for unused in UNUSED {
+            drop(signal(SignalKind::from_raw(unused.as_raw()))?);
+        }
+        Ok(Signals { stop, hangup })
     }
 }
 
@@ -32,6 +53,7 @@
 pub struct Stop {
     terminate: Signal,
     interrupt: Signal,
+    quit: Signal,
 }
 
 impl Stop {
@@ -40,6 +62,7 @@
         tokio::select! {
             _ = self.terminate.recv() => "SIGTERM",
             _ = self.interrupt.recv() => "SIGINT",
+            _ = self.quit.recv() => "SIGQUIT",
         }
     }
 }
--- a/crates/daemon/tests/process/hangups.rs
+++ b/crates/daemon/tests/process/hangups.rs
@@ -24,7 +24,7 @@
 const SERIES: usize = 60;
 
 /// A daemon with a folder of its own.
-struct Daemon {
+pub struct Daemon {
     child: Child,
     folder: PathBuf,
 }
@@ -50,21 +50,26 @@
     }
 
     /// Returns once the daemon listens.
-    fn start(name: &str) -> Daemon {
+    pub fn start(name: &str) -> Daemon {
         let mut daemon = Daemon::execute(name);
         daemon.until("it listens", |daemon| daemon.has_logged("listening"));
         daemon
     }
 
-    fn settings(&self) -> PathBuf {
+    /// Its process.
+    pub fn child(&mut self) -> &mut Child {
+        &mut self.child
+    }
+
+    pub fn settings(&self) -> PathBuf {
         self.folder.join("settings")
     }
 
-    fn log(&self) -> String {
+    pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).expect("the log")
     }
 
-    fn has_logged(&self, event: &str) -> bool {
+    pub fn has_logged(&self, event: &str) -> bool {
         self.log().contains(&format!("\"name\":\"{event}\""))
     }
 
@@ -83,12 +88,12 @@
     }
 
     /// Sends a signal; nothing happens if the process has ended.
-    fn signal(&self, signal: Signal) {
+    pub fn signal(&self, signal: Signal) {
         kill_process(pid(&self.child), signal).ok();
     }
 
     /// Waits for a state of a daemon that goes on.
-    fn until(&mut self, what: &str, holds: impl Fn(&Daemon) -> bool) {
+    pub fn until(&mut self, what: &str, holds: impl Fn(&Daemon) -> bool) {
         let start = Instant::now();
         while !holds(self) {
             let status = self.child.try_wait().expect("a child");
@@ -98,7 +103,7 @@
     }
 
     /// Asserts that the daemon goes on and obeys a hang-up.
-    fn assert_obeys(&mut self) {
+    pub fn assert_obeys(&mut self) {
         let before = self.log().matches("\"settings-in-force\"").count();
         self.signal(Signal::HUP);
         self.until("it rereads", |daemon| {
@@ -107,7 +112,7 @@
     }
 
     /// Asserts that the daemon ends by itself after a stop.
-    fn assert_stops(&mut self) {
+    pub fn assert_stops(&mut self) {
         let status = end(&mut self.child);
         assert_eq!(status.and_then(|status| status.code()), Some(0), "{status:?}: {}", self.log());
         assert!(self.has_logged("stopped"), "{}", self.log());
--- a/crates/daemon/tests/process/main.rs
+++ b/crates/daemon/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod hangups;
 mod reread;
 mod scarce;
+mod signals;
 mod start;
 
 use std::process::{Child, ExitStatus};
