Read settings again that couldn't be read for want of descriptors

What operators saw: settings that changed, with SIGHUP or without, while the daemon had no free descriptor were refused once (event 121) and never read again, though the file was sound.

Cause: `Source::read` notes the file's stamp before it reads, and a failed read keeps it, so that the file counts as read.

Change: a read that failed for want of descriptors or memory forgets the stamp, so that the next look reads again. Other failures are told once per state of the file, as before.

--- a/crates/daemon/src/reload.rs
+++ b/crates/daemon/src/reload.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cactushold_config::{Settings, settings};
+use rustix::io::Errno;
 use tokio::signal::unix::Signal;
 
 use crate::error::Error;
@@ -84,6 +85,9 @@
         match self.read().await.and_then(|settings| apply(settings, shared)) {
             Ok(outcome) => metric::reloaded(outcome),
             Err(error) => {
+                if is_passing(&error) {
+                    self.stamp = None;
+                }
                 log!(warn, Event::SettingsRefused, reason = %error);
                 metric::reloaded(Reload::Refused);
             }
@@ -120,6 +124,13 @@
     Ok(())
 }
 
+/// Whether a file may be readable a little later though nobody changes it.
+fn is_passing(error: &Error) -> bool {
+    let Error::Settings(settings::Error::Unreadable { source, .. }) = error else { return false };
+    let scarce = [Errno::MFILE, Errno::NFILE, Errno::NOMEM];
+    Errno::from_io_error(source).is_some_and(|errno| scarce.contains(&errno))
+}
+
 fn read(path: &Path) -> Result<Settings, Error> {
     check_readable(path)?;
     Ok(Settings::load(path)?)
--- a/crates/daemon/tests/process/scarce.rs
+++ b/crates/daemon/tests/process/scarce.rs
@@ -7,7 +7,10 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use crate::SETTINGS;
+use rustix::process::{Resource, Rlimit, Signal, getrlimit, prlimit};
+
+use crate::hangups::Daemon;
+use crate::{SETTINGS, pid};
 
 /// Time in which a daemon that listens has started its threads, with room for a busy machine.
 const START: Duration = Duration::from_secs(3);
@@ -72,6 +75,21 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+#[test]
+fn settings_that_no_descriptor_was_left_for_are_in_force_later() {
+    let mut daemon = Daemon::start("descriptors");
+    daemon.assert_obeys();
+    let process = Some(pid(daemon.child()));
+    let all = getrlimit(Resource::Nofile);
+    let none = Rlimit { current: Some(3), ..all };
+    prlimit(process, Resource::Nofile, none).expect("a limit");
+    std::fs::write(daemon.settings(), format!("{SETTINGS}head_bytes = 8192\n")).expect("a file");
+    daemon.signal(Signal::HUP);
+    daemon.until("it refuses", |daemon| daemon.has_logged("settings-refused"));
+    prlimit(process, Resource::Nofile, all).expect("a limit");
+    daemon.until("they are in force", |daemon| daemon.log().contains("\"changed\":true"));
+}
+
 /// Ticks of the processor that a process has used, by thread name.
 fn ticks(process: u32) -> BTreeMap<String, u64> {
     let tasks = std::fs::read_dir(format!("/proc/{process}/task")).expect("a process");
