Wait in a stop until the end of a long answer was fetched

What callers saw: an answer of more than 64 KiB that came through another daemon was cut off, at times after its last byte and before the end of its chunks, when the daemon beside its server stopped.

Cause: the rest of an answer is fetched piece by piece. Its slot is given back once the end was read from the server, though the daemon that passes it on may not have fetched that yet: it asks when its caller has read what came before. A stopping daemon without slots in use ends.

In it the daemon that passes the answer on stands still for 3 s; a slow caller has it wait in the same place.

Change: the rest of an answer counts as an open request until the other daemon lets go of it or its connection ends. A stop still ends at its limit.

A connection that goes silent for good in the middle of a long answer now has a later stop wait until its limit.

Not covered: answers of up to 64 KiB that are in a stopping daemon's own buffer because the connection to the other daemon is full have two looks (20 ms), as before.

--- a/crates/daemon/src/peer/convert.rs
+++ b/crates/daemon/src/peer/convert.rs
@@ -1,6 +1,7 @@
 //! Requests and answers to and from their wire form.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,7 @@
 
 use crate::exchange::{Answer, Outlook, Refusal, Reply, Request, Rest};
 use crate::peer::{self, Link};
+use crate::shared::Shared;
 
 type Result<T> = std::result::Result<T, capnp::Error>;
 
@@ -86,6 +88,7 @@
 /// Writes an answer to the attempt, and the outlook of the next one.
 pub fn write_answer(
     mut builder: answer::Builder<'_>,
+    shared: &Arc<Shared>,
     attempt: u64,
     answer: Answer,
     outlook: Outlook,
@@ -107,7 +110,9 @@
             out.set_status(reply.status);
             out.set_body(&reply.body);
             match reply.rest {
-                Some(Rest::Local(stream)) => out.set_rest(peer::serve_body(stream)),
+                Some(Rest::Local(stream)) => {
+                    out.set_rest(peer::serve_body(stream, shared.open_request()));
+                }
                 Some(Rest::Remote(body, _)) => out.set_rest(body),
                 None => {}
             }
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -17,7 +17,7 @@
 use crate::guard::Handover;
 use crate::peer::convert;
 use crate::quota::{Owned, Token};
-use crate::shared::{Command, Shared, View};
+use crate::shared::{Command, OpenRequest, Shared, View};
 use crate::upstream::{Stream, Upstream};
 use crate::{clock, guard};
 
@@ -29,7 +29,11 @@
     upstream: Rc<Upstream>,
 }
 
-struct Body(RefCell<Option<Stream>>);
+/// The rest of an answer, until the daemon that asked lets go of it.
+struct Body {
+    stream: RefCell<Option<Stream>>,
+    _open: OpenRequest,
+}
 
 /// Accepts daemons' connections until the listener is dropped.
 pub async fn serve_peers(listener: TcpListener, shared: Arc<Shared>, upstream: Rc<Upstream>) {
@@ -57,8 +61,8 @@
 }
 
 /// Makes the rest of an answer readable by the daemon that asked.
-pub fn serve_body(stream: Stream) -> body::Client {
-    capnp_rpc::new_client(Body(RefCell::new(Some(stream))))
+pub fn serve_body(stream: Stream, open: OpenRequest) -> body::Client {
+    capnp_rpc::new_client(Body { stream: RefCell::new(Some(stream)), _open: open })
 }
 
 impl body::Server for Body {
@@ -67,7 +71,7 @@
         _: body::ReadParams,
         mut results: body::ReadResults,
     ) -> Result<(), capnp::Error> {
-        let stream = self.0.borrow_mut().take();
+        let stream = self.stream.borrow_mut().take();
         let mut stream = stream.ok_or_else(|| capnp::Error::failed("at its end".to_owned()))?;
         let piece = stream.next().await;
         let piece = piece.map_err(|refusal| capnp::Error::failed(refusal.detail))?;
@@ -75,7 +79,7 @@
         match piece {
             Some(piece) => {
                 out.set_chunk(&piece);
-                *self.0.borrow_mut() = Some(stream);
+                *self.stream.borrow_mut() = Some(stream);
             }
             None => out.set_end(true),
         }
@@ -96,7 +100,7 @@
         let answer = guard::serve(&self.shared, &self.upstream, &request).await;
         let outlook = self.shared.guard().outlook(request.route, clock::now());
         let out = results.get().init_answer();
-        convert::write_answer(out, request.attempt, answer, outlook);
+        convert::write_answer(out, &self.shared, request.attempt, answer, outlook);
         Ok(())
     }
 
--- a/crates/daemon/tests/platform/grace.rs
+++ b/crates/daemon/tests/platform/grace.rs
@@ -8,7 +8,10 @@
 
 use cactushold_standin::environment::{Environment, PATIENCE};
 use cactushold_standin::flood::Flood;
+use cactushold_standin::script::Action;
 use futures::future::join_all;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -318,3 +321,122 @@
     }
     assert_eq!(answered, passed_on.load(Ordering::Relaxed), "answers of requests passed on");
 }
+
+/// Length of an answer that is passed on in two parts of which the second one is empty, in bytes.
+const INLINE: usize = 64 << 10;
+/// Time for which the daemon that passes it on stands still: past the notice, within the grace.
+const STANDS_STILL: Duration = Duration::from_secs(3);
+
+/// The configuration of the sessions, with routes whose time doesn't end first.
+fn patient() -> Value {
+    let mut patient = config(1);
+    for rule in patient["listeners"][0]["rules"].as_array_mut().expect("rules") {
+        rule["action"]["timeout"] = "20s".into();
+    }
+    patient
+}
+
+/// Identity of a long request, as a server gets it.
+fn long(request: &str) -> Option<&str> {
+    let attempt = request.lines().find_map(|line| line.strip_prefix("attempt-id: "));
+    attempt.filter(|attempt| attempt.starts_with("long-"))
+}
+
+/// Reads until the connection ends or the last chunk has come.
+async fn read_chunks(stream: &mut TcpStream) -> Vec<u8> {
+    let (mut all, mut buffer) = (Vec::new(), vec![0; INLINE]);
+    while !all.ends_with(b"\r\n0\r\n\r\n") {
+        let read = tokio::time::timeout(PATIENCE, stream.read(&mut buffer)).await;
+        match read.expect("bytes or an end") {
+            Ok(0) | Err(_) => break,
+            Ok(read) => all.extend_from_slice(&buffer[..read]),
+        }
+    }
+    all
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_stops_waits_until_the_end_of_a_long_answer_was_fetched() {
+    let mut environment = Environment::new().await;
+    environment.store("config", "main", &patient()).await;
+    environment.add_reporting("lookup-1", "a", "lookup").await;
+    environment.add_reporting("lookup-2", "b", "lookup").await;
+    let entry = Pid::from_raw(environment.daemons[0].pid() as i32).expect("a process");
+    let choose = move |_, request: &str| {
+        let Some(attempt) = long(request) else { return Action::Pass };
+        kill_process(entry, Signal::STOP).ok();
+        let body = "a".repeat(INLINE);
+        let start = format!("HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nreply-seal: s\r\n");
+        Action::Answer(format!("{start}content-length: {INLINE}\r\n\r\n{body}").into())
+    };
+    let _proxy = environment.add_scripted("ruling-1", "c", "ruling", choose).await;
+    until_held(&environment).await;
+    until("rulings served", async || {
+        ask(&environment, 0, RULING).await.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    let mut stream = TcpStream::connect(environment.daemons[0].callers).await.expect("connects");
+    stream.write_all(ruling("long-1").as_bytes()).await.expect("sent");
+    tokio::time::sleep(RUN).await;
+    environment.daemons[2].terminate();
+    tokio::time::sleep(STANDS_STILL).await;
+    environment.daemons[0].resume();
+    let answer = read_chunks(&mut stream).await;
+    let text = String::from_utf8_lossy(&answer);
+    let head = text.split("\r\n\r\n").next().unwrap_or_default();
+    assert!(text.starts_with("HTTP/1.1 200 "), "{head}");
+    assert!(text.ends_with("\r\n0\r\n\r\n"), "cut after {} bytes: {head}", answer.len());
+    until("it stopped", async || environment.daemons[2].exit_code() == Some(0)).await;
+}
+
+/// An answer in chunks that goes on slowly until its connection is closed.
+fn endless_answer(request: &str) -> Option<Flood> {
+    let attempt = long(request)?;
+    let start = format!(
+        "HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nreply-seal: s\r\n\
+         transfer-encoding: chunked\r\n\r\n{INLINE:x}\r\n{}\r\n",
+        "a".repeat(INLINE)
+    );
+    Some(Flood { start, repeated: "1\r\nb\r\n", is_slow: true })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_answer_that_outlasts_the_grace_is_seen_to_be_cut() {
+    for stopped in [2, 0] {
+        let mut environment = Environment::new().await;
+        environment.grace = SHORT;
+        environment.store("config", "main", &patient()).await;
+        environment.add_reporting("lookup-1", "a", "lookup").await;
+        environment.add_reporting("lookup-2", "b", "lookup").await;
+        let _proxy = environment.add_flooding("ruling-1", "c", "ruling", endless_answer).await;
+        until_held(&environment).await;
+        until("rulings served", async || {
+            ask(&environment, 0, RULING).await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        let mut streams = Vec::new();
+        for entry in [0, 2] {
+            let stream = TcpStream::connect(environment.daemons[entry].callers).await;
+            let mut stream = stream.expect("connects");
+            let text = ruling(&format!("long-{entry}"));
+            stream.write_all(text.as_bytes()).await.expect("sent");
+            let mut begins = vec![0; 12];
+            stream.read_exact(&mut begins).await.expect("the answer begins");
+            assert_eq!(begins, b"HTTP/1.1 200");
+            streams.push((entry, stream));
+        }
+        environment.daemons[stopped].terminate();
+        let start = Instant::now();
+        // The daemon elsewhere goes on with what doesn't pass the one that stops.
+        let cut: Vec<_> =
+            streams.iter_mut().filter(|(entry, _)| stopped == 2 || *entry == 0).collect();
+        for (entry, stream) in cut {
+            let rest = read_chunks(stream).await;
+            assert!(rest.len() > INLINE, "through daemon {entry}: {} bytes", rest.len());
+            assert!(!rest.ends_with(b"0\r\n\r\n"), "through daemon {entry}: it looks whole");
+            let after = start.elapsed();
+            assert!(after > SHORT.mul_f64(0.8), "through daemon {entry}: cut after {after:?}");
+        }
+        until("it stopped", async || environment.daemons[stopped].exit_code() == Some(0)).await;
+    }
+}
