--- a/crates/daemon/tests/platform/cut_answers.rs
+++ b/crates/daemon/tests/platform/cut_answers.rs
@@ -38,6 +38,10 @@
     Continued,
     /// With the length of a large body.
     Large,
+    /// Without a body, by its status.
+    NoContent,
+    /// Without a body, by the method of its request.
+    HeadOnly,
 }
 
 /// How the connection ends.
@@ -57,8 +61,20 @@
 }
 
 impl Form {
-    const ALL: [Form; 5] =
-        [Form::Length, Form::Chunks, Form::Unbounded, Form::Continued, Form::Large];
+    const ALL: [Form; 7] = [
+        Form::Length,
+        Form::Chunks,
+        Form::Unbounded,
+        Form::Continued,
+        Form::Large,
+        Form::NoContent,
+        Form::HeadOnly,
+    ];
+
+    /// The method by which it is asked for.
+    fn method(self) -> &'static str {
+        if self == Form::HeadOnly { "HEAD" } else { "POST" }
+    }
 
     fn named(name: &str) -> Option<Form> {
         Form::ALL.into_iter().find(|form| format!("{form:?}") == name)
@@ -67,7 +83,12 @@
     fn head(self, attempt: &str) -> String {
         let start = format!("HTTP/1.1 200 OK\r\nattempt-id: {attempt}\r\nreply-seal: s\r\n");
         match self {
-            Form::Length => format!("{start}content-length: {}\r\n\r\n", BODY.len()),
+            Form::Length | Form::HeadOnly => {
+                format!("{start}content-length: {}\r\n\r\n", BODY.len())
+            }
+            Form::NoContent => {
+                format!("HTTP/1.1 204 No Content\r\nattempt-id: {attempt}\r\nreply-seal: s\r\n\r\n")
+            }
             Form::Chunks => format!("{start}transfer-encoding: chunked\r\n\r\n"),
             Form::Unbounded => format!("{start}connection: close\r\n\r\n"),
             Form::Continued => {
@@ -81,6 +102,7 @@
         match self {
             Form::Chunks => format!("{:x}\r\n{BODY}\r\n0\r\n\r\n", BODY.len()),
             Form::Large => "x".repeat(LARGE),
+            Form::NoContent | Form::HeadOnly => String::new(),
             _ => BODY.to_owned(),
         }
     }
@@ -192,7 +214,7 @@
         let deployment = Deployment { environment, _proxy: proxy, arrived };
         for entry in 0..2 {
             until("served", async || {
-                let answer = deployment.ask(entry, "/again/x", "0000000000000000").await;
+                let answer = deployment.ask(entry, "POST", "/again/x", "0000000000000000").await;
                 answer.is_ok_and(|answer| answer.status == 200)
             })
             .await;
@@ -200,9 +222,15 @@
         deployment
     }
 
-    async fn ask(&self, entry: usize, path: &str, attempt: &str) -> Result<Answer, String> {
+    async fn ask(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        attempt: &str,
+    ) -> Result<Answer, String> {
         let (host, key) = ("words.example", None);
-        let request = Ask { method: "POST", host, path, key, position: None };
+        let request = Ask { method, host, path, key, position: None };
         ask_as(&self.environment, entry, request, attempt).await
     }
 
@@ -211,7 +239,7 @@
         let start = std::time::Instant::now();
         loop {
             let attempt = format!("{:016x}", fastrand::u64(..));
-            let answer = self.ask(entry, &cut.path("once"), &attempt).await;
+            let answer = self.ask(entry, cut.form.method(), &cut.path("once"), &attempt).await;
             if self.arrived.lock().expect("no holder panics").contains(&attempt) {
                 return answer;
             }
@@ -229,8 +257,13 @@
         let sent = form.head(&attempt).len() + form.body().len();
         let cut = Cut { form, end: End::Closed, sent };
         let answer = deployment.ask_for(1, cut).await.expect("an answer");
-        let length = if form == Form::Large { LARGE } else { BODY.len() };
-        assert_eq!((answer.status.as_u16(), answer.body.len()), (200, length), "{form:?}");
+        let expected = match form {
+            Form::Large => (200, LARGE),
+            Form::NoContent => (204, 0),
+            Form::HeadOnly => (200, 0),
+            _ => (200, BODY.len()),
+        };
+        assert_eq!((answer.status.as_u16(), answer.body.len()), expected, "{form:?}");
     }
 }
 
--- a/crates/daemon/tests/platform/kept_connections.rs
+++ b/crates/daemon/tests/platform/kept_connections.rs
@@ -64,7 +64,10 @@
         let attempt = request.lines().find_map(|line| line.strip_prefix("attempt-id: "));
         let Some(attempt) = attempt else { return Action::Pass };
         match path.rsplit('/').next() {
-            Some("refused-twice") => self.refuse_twice(connection, attempt),
+            Some("doubled") => Action::Answer([sealed(attempt), sealed(attempt)].concat()),
+            Some("doubled-by-a-refusal") => {
+                Action::Answer([sealed(attempt), refusal(attempt, 503)].concat())
+            }
             Some("refused") => {
                 *self.refusals.lock().expect("no holder panics").entry(connection).or_default() +=
                     1;
@@ -80,22 +83,67 @@
             Some("behind-a-refusal-without-id") => Action::Precede(
                 b"HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n".into(),
             ),
-            _ => Action::Pass,
+            Some(name) => match Form::named(name) {
+                Some(form) => self.refuse_twice(connection, attempt, form),
+                None => Action::Pass,
+            },
+            None => Action::Pass,
         }
     }
 
     /// Refuses a request, and writes that again before the answer to its next attempt.
-    fn refuse_twice(&self, connection: usize, attempt: &str) -> Action {
+    fn refuse_twice(&self, connection: usize, attempt: &str, form: Form) -> Action {
         let mut refused = self.refused.lock().expect("no holder panics");
         let status = if attempt.starts_with("keyed") { 421 } else { 503 };
         if refused.contains(&(connection, attempt.to_owned())) {
-            return Action::Precede(refusal(attempt, status));
+            return Action::Precede(form.write(attempt, status));
         }
         if refused.iter().any(|(_, known)| known == attempt) {
             return Action::Pass;
         }
         refused.insert((connection, attempt.to_owned()));
-        Action::Answer(refusal(attempt, status))
+        Action::Answer(form.write(attempt, status))
+    }
+}
+
+/// A way to write a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    /// Without a body.
+    Empty,
+    /// With the length of its body.
+    Length,
+    /// In chunks.
+    Chunks,
+    /// Without a length, though the connection stays open.
+    Unbounded,
+    /// Behind an interim answer.
+    Continued,
+}
+
+impl Form {
+    const ALL: [Form; 5] =
+        [Form::Empty, Form::Length, Form::Chunks, Form::Unbounded, Form::Continued];
+
+    fn named(name: &str) -> Option<Form> {
+        let name = name.strip_prefix("refused-twice-")?;
+        Form::ALL.into_iter().find(|form| format!("{form:?}") == name)
+    }
+
+    fn write(self, attempt: &str, status: u16) -> Vec<u8> {
+        let start = format!("HTTP/1.1 {status} Refused\r\nattempt-id: {attempt}\r\nnot-run: 1\r\n");
+        let text = match self {
+            Form::Empty => return refusal(attempt, status),
+            Form::Length => format!("{start}content-length: 4\r\n\r\nfull"),
+            Form::Chunks => {
+                format!("{start}transfer-encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n")
+            }
+            Form::Unbounded => format!("{start}\r\nfull"),
+            Form::Continued => {
+                format!("HTTP/1.1 100 Continue\r\n\r\n{start}content-length: 0\r\n\r\n")
+            }
+        };
+        text.into()
     }
 }
 
@@ -148,10 +196,20 @@
     }
 
     async fn ask(&self, path: &str, attempt: &str) -> Result<Answer, String> {
+        self.ask_through(0, "POST", path, attempt).await
+    }
+
+    async fn ask_through(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        attempt: &str,
+    ) -> Result<Answer, String> {
         let host = "words.example";
         let position = path.starts_with("/keyed/").then_some(POSITION);
-        let request = Ask { method: "POST", host, path, key: None, position };
-        ask_as(&self.environment, 0, request, attempt).await
+        let request = Ask { method, host, path, key: None, position };
+        ask_as(&self.environment, entry, request, attempt).await
     }
 
     /// Asserts that a request ran once at most, and not at all if its caller was told so.
@@ -167,15 +225,37 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_refusal_is_not_taken_for_the_answer_to_the_next_attempt() {
     let deployment = Deployment::start().await;
-    for service in ["plain", "keyed"] {
-        let mut answered = 0;
-        for at in 0..REQUESTS {
-            let (path, attempt) = (format!("/{service}/refused-twice"), format!("{service}-{at}"));
-            let answer = deployment.ask(&path, &attempt).await;
+    let kinds = ["plain", "keyed"].into_iter().flat_map(|service| [(service, 0), (service, 1)]);
+    for ((service, entry), form) in kinds.flat_map(|kind| Form::ALL.map(|form| (kind, form))) {
+        for method in ["POST", "GET", "HEAD"] {
+            // The answer to HEAD has no body.
+            if method == "HEAD" && form != Form::Empty {
+                continue;
+            }
+            let mut answered = 0;
+            for at in 0..REQUESTS {
+                let path = format!("/{service}/refused-twice-{form:?}");
+                let attempt = format!("{service}-{entry}-{form:?}-{method}-{at}");
+                let answer = deployment.ask_through(entry, method, &path, &attempt).await;
+                deployment.assert_true(&attempt, &answer);
+                answered += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+            }
+            assert!(answered > 0, "{service} {entry} {form:?} {method}: no next attempt answered");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_with_another_one_right_behind_it_costs_no_later_request() {
+    let deployment = Deployment::start().await;
+    for (name, entry) in [("doubled", 0), ("doubled", 1), ("doubled-by-a-refusal", 0)] {
+        for at in 0..REQUESTS * 4 {
+            let attempt = format!("{name}-{entry}-{at}");
+            let path = if at % 2 == 0 { format!("/plain/{name}") } else { "/plain/x".to_owned() };
+            let answer = deployment.ask_through(entry, "POST", &path, &attempt).await;
             deployment.assert_true(&attempt, &answer);
-            answered += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+            assert_eq!(answer.expect("an answer").status, 200, "{attempt}");
         }
-        assert!(answered > 0, "{service}: no next attempt was answered");
     }
 }
 
