--- a/crates/daemon/tests/soak/check.rs
+++ b/crates/daemon/tests/soak/check.rs
@@ -178,8 +178,6 @@
     is_killed: bool,
     /// A process was killed, a server ended or a connection was disturbed.
     is_broken: bool,
-    /// A process stood still.
-    is_paused: bool,
     /// Connections went silent at any time before.
     was_silenced: bool,
     /// A process stood still, servers were slow, or there was a crowd.
@@ -188,10 +186,10 @@
 
 impl Harm {
     /// Whether a request may end without its server's answer. Processes that stand still are no
-    /// reason where nothing else fails; idle connections that are silent have a test of their own,
-    /// `silence::*` of the platform's sessions.
+    /// reason; idle connections that are silent have a test of their own, `silence::*` of the
+    /// platform's sessions.
     fn may_end(&self, kinds: Kinds) -> bool {
-        self.is_broken || (kinds == Kinds::All && (self.is_paused || self.was_silenced))
+        self.is_broken || (kinds == Kinds::All && self.was_silenced)
     }
 
     fn of(play: &Play, record: &Record) -> Harm {
@@ -204,7 +202,7 @@
         let near = |from: Instant, to: Instant| from <= record.ended && record.sent <= to + LINGER;
         let silences = play.done.iter().filter(|(_, step)| matches!(step, Step::Silence(_)));
         let was_silenced = silences.map(|(at, _)| *at).any(|at| at <= record.ended);
-        let (mut is_broken, mut is_paused, mut is_slow) = (false, false, false);
+        let (mut is_broken, mut is_slow) = (false, false);
         for (index, (at, step)) in play.done.iter().enumerate() {
             let until = |end: Step| {
                 let mut later = play.done[index..].iter();
@@ -217,12 +215,11 @@
                 }
                 Step::Cut(daemon, true) => is_broken |= near(*at, until(Step::Cut(daemon, false))),
                 Step::Silence(_) => is_broken |= near(*at, *at),
-                Step::Pause(daemon) => is_paused |= near(*at, until(Step::Resume(daemon))),
+                Step::Pause(daemon) => is_slow |= near(*at, until(Step::Resume(daemon))),
                 Step::Slow(_) | Step::Crowd(_) => is_slow |= near(*at, *at),
                 _ => {}
             }
         }
-        is_slow |= is_paused;
-        Harm { is_terminated, is_killed, is_broken, is_paused, was_silenced, is_slow }
+        Harm { is_terminated, is_killed, is_broken, was_silenced, is_slow }
     }
 }
