Keep a suspect connection in use only until another one has answered

What callers saw: 504 after their whole time, for seconds, for all requests to a daemon whose connection goes silent some time after a cut.

Cause: one check of a daemon runs at a time, and while it runs a suspect connection counts as good as any. A check kept its turn also while it waited for what was owed over its connection, for as long as the cut had lasted and without any call open there; the checks of all connections that were made during the cut followed one another.

Change: the turn ends once another connection has answered, since new calls go over that one then; the wait for what is owed ends with the last call.

Ruled out: the time owed itself, which calls that are under way on the cut connection need.

--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -156,7 +156,7 @@
         let Some(siblings) = self.siblings.upgrade() else { return };
         let check = siblings.check_of(self.address);
         // One check of a daemon at a time: more connections make a slow one slower.
-        let _checking = check.lock().await;
+        let checking = check.lock().await;
         siblings.forget(self);
         let mut dials = 0;
         // Without a call open, nobody waits for the outcome.
@@ -177,9 +177,18 @@
                 None => siblings.forget(&other),
             }
         }
+        // From here on new calls go over the other connection.
+        drop(checking);
         // What was sent during a cut is sent again after as long a time as the cut lasted.
         let owed = OWED.max(clock::now().saturating_sub(self.quiet_since()));
-        stall::timeout(owed, std::future::pending::<()>()).await;
+        stall::timeout(owed, self.until_unused()).await;
+    }
+
+    /// Returns once no call is open.
+    async fn until_unused(&self) {
+        while self.open.get() > 0 {
+            tokio::time::sleep(QUIET / 2).await;
+        }
     }
 
     /// Tells a stall of the thread, unless another connection has told it.
