Tell each attempt of a request that was refused, failed or late

What callers saw: 502 or 503 whose cause the logs didn't tell.

Change: a request keeps a trace of its attempts. Event 402 tells what it was admitted as, each attempt (target, start, time, end, whether sent, over which connection and how long that was quiet, by which table) and what was believed at the end; `sent` is true also while an attempt's outcome is open. Event 404 tells the same of an answer after the route's goal. Event 403 tells, beside the upstream, a run that ended without an answer or that nobody waits for any more; all three carry the same identities. Event 100 names the instance. Text is built for these requests only; texts are cut at 160 bytes, attempts at eight.

Not told yet: a caller that goes away before its answer, and an answer that breaks off after its head.

Evidence: `platform traces::*`, 4 of 4 passed in one run on a machine loaded with 44 (what they read wasn't logged before; they weren't run on the code before). No figure of processor time was taken.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -151,7 +151,8 @@
 
 fn tell_addresses(shared: &Shared) {
     let Addresses { callers, peers, admin, .. } = shared.addresses;
-    log!(info, Event::Listening, callers = %callers, peers = %peers, admin = %admin);
+    let instance = shared.instance.name.as_str();
+    log!(info, Event::Listening, instance, callers = %callers, peers = %peers, admin = %admin);
 }
 
 fn start_threads(
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -99,6 +99,11 @@
     Fresh = 401, "fresh";
     /// A request was refused or failed.
     RequestFailed = 402, "request-failed";
+    /// An attempt of another daemon's request got to the upstream here and wasn't answered, or that
+    /// daemon waits for it no longer.
+    AttemptFailed = 403, "attempt-failed";
+    /// A request was answered after its route's goal.
+    RequestLate = 404, "request-late";
     /// Nothing was heard over a connection for too long; new calls go over another one.
     SilentConnection = 500, "silent-connection";
     /// A graceful shutdown began.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A request and its answer on their way between ingress, guard and upstream.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -55,6 +56,22 @@
     pub max_attempts: u32,
 }
 
+/// When an attempt was handed over, if it was; whoever waits for it may have gone meanwhile.
+#[derive(Clone, Debug, Default)]
+pub struct Progress(Rc<Cell<Option<Time>>>);
+
+impl Progress {
+    /// The upstream, or the daemon beside it, gets the attempt now.
+    pub fn hand_over(&self, now: Time) {
+        self.0.set(Some(now));
+    }
+
+    /// When that was.
+    pub fn handed_at(&self) -> Option<Time> {
+        self.0.get()
+    }
+}
+
 /// Why a request wasn't answered by the upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -9,7 +9,7 @@
 use cactushold_platform::http::load;
 
 use crate::clock;
-use crate::exchange::{Answer, Refusal, Reply, Request};
+use crate::exchange::{Answer, Progress, Refusal, Reply, Request};
 use crate::guard::permit::{Permit, Presence};
 use crate::guard::table::Recorded;
 use crate::shared::{Command, Shared, View};
@@ -20,14 +20,20 @@
 /// How far callers' clocks may be off.
 const CLOCK_SKEW: Duration = Duration::from_secs(2);
 
-/// Runs a request at the upstream, or tells truly that it did not run.
-pub async fn serve(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
+/// Runs a request at the upstream, or tells truly that it did not run. `progress` notes when the
+/// upstream gets it.
+pub async fn serve(
+    shared: &Arc<Shared>,
+    upstream: &Upstream,
+    request: &Request,
+    progress: &Progress,
+) -> Answer {
     check_open(shared, request)?;
     check_place(shared, request)?;
     check_outlook(shared, request)?;
     match &request.idempotency_key {
-        None => run(shared, upstream, request).await,
-        Some(key) => run_once(shared, upstream, request, key).await,
+        None => run(shared, upstream, request, progress).await,
+        Some(key) => run_once(shared, upstream, request, (key, progress)).await,
     }
 }
 
@@ -127,7 +133,12 @@
     }
 }
 
-async fn run(shared: &Arc<Shared>, upstream: &Upstream, request: &Request) -> Answer {
+async fn run(
+    shared: &Arc<Shared>,
+    upstream: &Upstream,
+    request: &Request,
+    progress: &Progress,
+) -> Answer {
     let slice = slice_of(&shared.view(), request)?;
     if let (Some(key), true) = (request.key, shared.is_told()) {
         shared.guard().note_position(position(key), clock::now());
@@ -149,6 +160,7 @@
         check_place(shared, request)?;
     }
     let started = now;
+    progress.hand_over(now);
     let server = view.server.as_deref();
     let answer = tokio::select! {
         answer = upstream.send(request, server, slice.zip(fence), expires, permit) => answer,
@@ -184,7 +196,7 @@
     shared: &Arc<Shared>,
     upstream: &Upstream,
     request: &Request,
-    key: &str,
+    (key, progress): (&str, &Progress),
 ) -> Answer {
     let name = format!("{}/{}/{key}", request.workspace, request.service);
     let fingerprint = fingerprint(request);
@@ -202,7 +214,7 @@
         }
     }
     let mut note = Note { shared, name: &name, state: Some(State::Unknown) };
-    let answer = run(shared, upstream, request).await;
+    let answer = run(shared, upstream, request, progress).await;
     note.state = Some(record_of(&answer));
     drop(note);
     answer
--- a/crates/daemon/src/ingress/attempts.rs
+++ b/crates/daemon/src/ingress/attempts.rs
@@ -10,6 +10,7 @@
 use crate::exchange::{Answer, Refusal, Request};
 use crate::ingress::send::{Destination, Doubt, Outcome, attempt};
 use crate::ingress::targets::Targets;
+use crate::ingress::trace::Trace;
 use crate::worker::Worker;
 use crate::{clock, metric};
 
@@ -24,12 +25,12 @@
 
 /// Runs a request: one attempt after another, and for idempotent ones a second one beside the
 /// first when that takes unusually long or nothing is heard of it any more.
-pub async fn run(worker: &Rc<Worker>, request: Request) -> Answer {
+pub async fn run(worker: &Rc<Worker>, request: &Request, trace: &Trace) -> Answer {
     worker.budget(&request.service).earn();
-    let mut plan = Plan::new(worker, &request);
+    let mut plan = Plan::new(worker, request);
     let doubt = Doubt::default();
     let mut running = FuturesUnordered::new();
-    running.push(attempt(worker, &request, plan.choose()?, &doubt));
+    running.push(attempt(worker, request, plan.choose()?, &doubt, trace));
     loop {
         let may_hedge = plan.may_hedge(running.len());
         tokio::select! {
@@ -40,13 +41,13 @@
                     Step::Again(pause) => {
                         plan.pause_for(pause).await?;
                         doubt.lower();
-                        running.push(attempt(worker, &request, plan.choose()?, &doubt));
+                        running.push(attempt(worker, request, plan.choose()?, &doubt, trace));
                     }
                 }
             }
             () = plan.hedge_due(&doubt), if may_hedge => {
                 if let Some(choice) = plan.hedge() {
-                    running.push(attempt(worker, &request, choice, &doubt));
+                    running.push(attempt(worker, request, choice, &doubt, trace));
                 }
             }
             () = worker.shared.overdue(request.deadline) => {
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -9,8 +9,10 @@
 mod route;
 mod send;
 mod targets;
+mod trace;
 
 pub use self::rate::owners;
+pub use self::trace::short;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -19,23 +21,21 @@
 
 use bytes::Bytes;
 use cactushold_attempt::Kind;
-use cactushold_platform::http::ATTEMPT;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::event::Event;
 use crate::exchange::{Answer, Refusal, Request};
 use crate::ingress::connection::{Connection, Unwritten};
 use crate::ingress::pipeline::{Bodiless, Pipeline, Watched};
+use crate::ingress::trace::Trace;
 use crate::shared::OpenRequest;
 use crate::worker::Worker;
-use crate::{clock, log, metric};
+use crate::{clock, metric};
 
 /// Headers that a request may carry.
 const MAX_HEADERS: usize = 100;
@@ -138,7 +138,7 @@
         () = worker.shared.stop_limit() => Err(Refusal::new(Kind::Draining)),
     };
     let result = match admitted {
-        Ok(request) => run(worker, request).await,
+        Ok(request) => run(worker, request, &visit.trace).await,
         Err(refusal) => Err(refusal),
     };
     visit.end(worker, result)
@@ -151,32 +151,27 @@
     if !request.idempotent {
         return None;
     }
-    let result = run(worker, request).await;
+    let result = run(worker, request, &visit.trace).await;
     Some(visit.end(worker, result))
 }
 
 /// A request from its arrival to its answer.
 struct Visit {
     open: OpenRequest,
-    arrived: Duration,
-    about: About,
+    trace: Trace,
 }
 
 impl Visit {
     fn begin<B>(worker: &Worker, request: &hyper::Request<B>) -> Visit {
-        Visit {
-            open: worker.shared.open_request(),
-            arrived: clock::now(),
-            about: About::of(request),
-        }
+        Visit { open: worker.shared.open_request(), trace: Trace::of(request, clock::now()) }
     }
 
     fn end(self, worker: &Worker, result: Answer) -> Response {
         metrics::counter!(metric::REQUESTS).increment(1);
         if let Err(refusal) = &result {
             metric::refused(refusal.kind);
-            self.about.tell_failure(refusal, clock::now().saturating_sub(self.arrived));
         }
+        self.trace.tell(&worker.shared, &result, clock::now());
         let style = match worker.shared.is_told() {
             true => answer::Style::Fractions,
             false => answer::Style::WholeSeconds,
@@ -185,36 +180,6 @@
     }
 }
 
-/// What the log says of a request that failed.
-struct About {
-    attempt: Option<HeaderValue>,
-    path: PathAndQuery,
-}
-
-impl About {
-    fn of<B>(request: &hyper::Request<B>) -> About {
-        let path = request.uri().path_and_query().cloned();
-        About {
-            attempt: request.headers().get(ATTEMPT).cloned(),
-            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
-        }
-    }
-
-    fn tell_failure(&self, refusal: &Refusal, took: Duration) {
-        let attempt = self.attempt.as_ref().and_then(|value| value.to_str().ok());
-        log!(
-            info,
-            Event::RequestFailed,
-            attempt,
-            path = %self.path,
-            kind = refusal.kind.name(),
-            sent = refusal.is_sent,
-            detail = refusal.detail,
-            took_ms = took.as_millis() as u64
-        );
-    }
-}
-
 /// Turns what arrived into a request that may be forwarded.
 async fn admit_request<B>(worker: &Worker, request: hyper::Request<B>) -> Result<Request, Refusal>
 where
@@ -227,11 +192,17 @@
     }
 }
 
-async fn run(worker: &Rc<Worker>, request: Request) -> Answer {
-    check_time(worker, &request)?;
-    let request = worker.shared.bounded(&request).into_owned();
+async fn run(worker: &Rc<Worker>, request: Request, trace: &Trace) -> Answer {
+    let answer = run_bounded(worker, &request, trace).await;
+    trace.note(&request, &worker.shared.view(), &answer, clock::now());
+    answer
+}
+
+async fn run_bounded(worker: &Rc<Worker>, request: &Request, trace: &Trace) -> Answer {
+    check_time(worker, request)?;
+    let request = worker.shared.bounded(request);
     rate::spend(worker, &request.workspace, request.deadline).await?;
-    attempts::run(worker, request).await
+    attempts::run(worker, &request, trace).await
 }
 
 /// Whether a daemon that is leaving can see the request to its end.
--- a/crates/daemon/src/ingress/send.rs
+++ b/crates/daemon/src/ingress/send.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::exchange::{Answer, Outlook, Refusal, Request};
+use crate::ingress::trace::{Step, Trace};
 use crate::worker::Worker;
 use crate::{clock, guard, peer};
 
@@ -92,10 +93,13 @@
     request: &Request,
     (target, elsewhere): Destination,
     doubt: &Doubt,
+    trace: &Trace,
 ) -> Outcome {
+    let step = trace.begin(target, &worker.shared.view(), clock::now());
     let tally = Tally::start(worker, target);
     worker.shared.forecasts().entry(target).or_default().sent();
-    let (answer, outlook) = send(worker, request, (target, elsewhere), doubt).await;
+    let (answer, outlook) = send(worker, request, (target, elsewhere), doubt, &step).await;
+    step.end(&answer, clock::now());
     note_outlook(worker, request, target, outlook, &answer);
     let failed = answer
         .as_ref()
@@ -124,13 +128,14 @@
     request: &Request,
     (target, elsewhere): Destination,
     doubt: &Doubt,
+    step: &Step<'_>,
 ) -> (Answer, Option<Outlook>) {
     let shared = &worker.shared;
     let request = &*shared.bounded(request);
     let view = shared.view();
     if target == view.id {
         let request = Request { elsewhere, ..request.clone() };
-        let answer = guard::serve(shared, &worker.upstream, &request).await;
+        let answer = guard::serve(shared, &worker.upstream, &request, &step.goes_here()).await;
         let outlook = shared.guard().outlook(request.route, clock::now());
         return (answer, Some(outlook));
     }
@@ -138,7 +143,7 @@
     let Some(address) = member.map(|member| member.peer.address) else {
         return (Err(Refusal::new(Kind::Unreachable)), None);
     };
-    match forward(worker, request, (target, elsewhere), address, doubt).await {
+    match forward(worker, request, (target, elsewhere), address, doubt, step).await {
         Ok((answer, outlook)) => (answer, Some(outlook)),
         Err(refusal) => (Err(refusal), None),
     }
@@ -150,6 +155,7 @@
     (target, elsewhere): Destination,
     address: SocketAddr,
     doubt: &Doubt,
+    step: &Step<'_>,
 ) -> Result<(Answer, Outlook), Refusal> {
     let link = worker.links.get(address).await;
     let link = link.map_err(|error| {
@@ -157,6 +163,7 @@
     })?;
     let mut call = link.peer.forward_request();
     peer::write_request(call.get().init_request(), request, elsewhere, clock::now());
+    step.goes_over(link.quiet(clock::now()));
     let _open = link.start();
     let lost = |error: capnp::Error| Refusal::sent(Kind::LinkLost).with_detail(error.to_string());
     let broken = |error: capnp::Error| Refusal::sent(Kind::Broken).with_detail(error.to_string());
@@ -165,6 +172,7 @@
         results = &mut results => Some(results),
         () = link.suspect() => {
             doubt.raise();
+            step.is_suspect();
             tokio::select! {
                 results = &mut results => Some(results),
                 () = link.lost() => None,
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -108,6 +108,11 @@
         });
     }
 
+    /// Time since something came over it; nothing if nothing ever did.
+    pub fn quiet(&self, now: Time) -> Option<Time> {
+        Some(self.heard.at()).filter(|at| !at.is_zero()).map(|at| now.saturating_sub(at))
+    }
+
     fn is_quiet(&self, now: Time) -> bool {
         now > self.quiet_since() + QUIET
     }
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod heard;
 mod link;
 mod server;
+mod watch;
 
 pub use self::{
     convert::{read_answer, read_outlook, write_request},
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -16,6 +16,7 @@
 
 use crate::guard::Handover;
 use crate::peer::convert;
+use crate::peer::watch::Watch;
 use crate::quota::{Owned, Token};
 use crate::shared::{Command, Shared, View};
 use crate::upstream::{Stream, Upstream};
@@ -93,7 +94,9 @@
         self.shared.note_forwarded(now);
         let request = convert::read_request(params.get()?.get_request()?, now)?;
         let request = self.shared.bounded(&request).into_owned();
-        let answer = guard::serve(&self.shared, &self.upstream, &request).await;
+        let watch = Watch::new(&self.shared, &request, now);
+        let answer = guard::serve(&self.shared, &self.upstream, &request, &watch.progress).await;
+        watch.end(&answer);
         let outlook = self.shared.guard().outlook(request.route, clock::now());
         let out = results.get().init_answer();
         convert::write_answer(out, request.attempt, answer, outlook);
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -18,3 +18,4 @@
 mod silence;
 mod stalls;
 mod stops;
+mod traces;
