Bound the log's lines of requests, and count those that are left out

What was seen: a flood of refusals writes a line each; beyond 4,096 waiting lines any line is lost, also those of what caused the flood. With the attempts of each request the lines are longer now.

Change: `log.request_lines` (200 a second) and `log.request_bytes` (128 KiB a second) bound events 402 to 404, at a reload at once; `log.format` still needs a restart. One second's worth may come at once; half of it is kept for requests that were refused or failed, late ones get none of that. The decision is `cactushold_admission::Allowance`, in front of the building of a line's text. Event 125, every five seconds and at the end, and a counter tell how many were left out. A line's bytes are counted before it is formatted, from above.

Test that changed: `logs::refusals_under` relies on a line for each refusal to fill the pipe and the queue; it raises the bound first, what it asserts is unchanged.

No figure of processor time was taken.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,5 +1,6 @@
 //! Keeps an upstream alive: slots, a fair queue with deadlines, and a ramp for cold starts.
 
+mod allowance;
 mod gate;
 mod pace;
 mod queue;
@@ -7,6 +8,7 @@
 mod shutdown;
 
 pub use crate::{
+    allowance::{Allowance, Omitted, Subject, Volume},
     gate::{Arrival, Gate, Load, Visit},
     pace::Pace,
     queue::{Queue, Refusal, Waiting},
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -89,13 +89,22 @@
 }
 
 /// Logging.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, default)]
 pub struct Log {
     /// Form of the log.
-    #[serde(default)]
     pub format: Format,
+    /// Lines of requests a second.
+    pub request_lines: u32,
+    /// Their bytes a second.
+    pub request_bytes: u32,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { format: Format::default(), request_lines: 200, request_bytes: 128 << 10 }
+    }
 }
 
 /// Limits of this daemon.
@@ -233,7 +242,7 @@
     /// The settings in force after a changed file was read, and the keys whose change takes effect
     /// at the next start only.
     ///
-    /// Limits, seeds, and the interval and bounds of reports change at once. Who the daemon is, its
+    /// Limits, seeds, the log's volume, and the interval and bounds of reports change at once. Who the daemon is, its
     /// addresses, its threads and the form of the log don't.
     ///
     /// ```
@@ -257,7 +266,7 @@
         keep("listen", &mut next.listen, &self.listen, &mut pending);
         keep("platform", &mut next.platform, &self.platform, &mut pending);
         keep("upstream", &mut next.upstream, &self.upstream, &mut pending);
-        keep("log", &mut next.log, &self.log, &mut pending);
+        keep("log.format", &mut next.log.format, &self.log.format, &mut pending);
         let workers = &mut next.limits.workers;
         keep("limits.workers", workers, &self.limits.workers, &mut pending);
         match (&mut next.reports, &self.reports) {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -136,8 +136,13 @@
 }
 
 #[handler]
-fn metrics(handle: Data<&PrometheusHandle>, lost: Data<&log::Lost>) -> String {
+fn metrics(
+    handle: Data<&PrometheusHandle>,
+    lost: Data<&log::Lost>,
+    shared: Data<&Arc<Shared>>,
+) -> String {
     metric::lines_lost(lost.lines());
+    metric::lines_left_out(shared.omitted_lines());
     handle.run_upkeep();
     handle.render()
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::SystemTime;
 
@@ -63,10 +64,11 @@
     tell_addresses(&shared);
     let (tasks, mut lost) = tasks::channel();
     let mut threads = start_threads(sockets.admin, &shared, &tasks, metrics, log.lost())?;
+    let missing = Rc::new(log::Missing::new(log.lost(), Arc::clone(&shared)));
     let control = async {
         let reloading = reload::keep_settings(source, Arc::clone(&shared), signals.hangup);
         tasks.spawn("settings", reloading);
-        tasks.spawn("log", log::tell_lost(log.lost()));
+        tasks.spawn("log", log::tell_missing(Rc::clone(&missing)));
         tokio::select! {
             outcome = run_control(&shared, sockets.datagrams, orders, signals.stop, &tasks) => {
                 outcome
@@ -77,6 +79,7 @@
     };
     LocalSet::new().block_on(&runtime, control)?;
     threads.join(ADMIN);
+    missing.tell();
     Ok(())
 }
 
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -67,6 +67,8 @@
     LinesLost = 123, "lines-lost";
     /// A thread was late for its own timers: it was busy, or got no processor.
     Stalled = 124, "stalled";
+    /// Lines of requests were left out: there were more than the settings let through.
+    LinesLeftOut = 125, "lines-left-out";
     /// A newer configuration is in force here.
     ConfigInForce = 200, "config-in-force";
     /// A newer slice table is in force here.
--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -12,7 +12,7 @@
 mod trace;
 
 pub use self::rate::owners;
-pub use self::trace::short;
+pub use self::trace::{FRAME, room, short};
 
 use std::convert::Infallible;
 use std::rc::Rc;
--- a/crates/daemon/src/ingress/trace.rs
+++ b/crates/daemon/src/ingress/trace.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::fmt::Write;
 
+use cactushold_admission::Subject;
 use cactushold_attempt::Kind;
 use cactushold_lease::{Incarnation, SliceId, TableVersion, Time};
 use cactushold_platform::http::ATTEMPT;
@@ -20,6 +21,9 @@
 /// Longest text of a field, in bytes; the callers' part of a line stays below that of the attempts.
 const MAX_TEXT: usize = 160;
 
+/// Bytes of a line besides its texts: names and numbers.
+pub const FRAME: usize = 450;
+
 /// A request as it came, and its attempts so far.
 pub struct Trace {
     method: Method,
@@ -133,12 +137,18 @@
 
     /// Tells a request that was refused, failed or late; one that was served in time isn't told.
     pub fn tell(&self, shared: &Shared, answer: &Answer, now: Time) {
+        let is_late = self.asked.get().is_some();
+        let subject = match answer {
+            Err(_) => Subject::Failed,
+            Ok(_) if is_late => Subject::Late,
+            Ok(_) => return,
+        };
+        if !shared.takes_line(subject) {
+            return;
+        }
         match answer {
             Err(refusal) => self.tell_one(Event::RequestFailed, shared, Some(refusal), now),
-            Ok(_) if self.asked.get().is_some() => {
-                self.tell_one(Event::RequestLate, shared, None, now);
-            }
-            Ok(_) => {}
+            Ok(_) => self.tell_one(Event::RequestLate, shared, None, now),
         }
     }
 
@@ -146,6 +156,8 @@
         let view = shared.view();
         let asked = self.asked.get();
         let request = asked.map(|asked| format!("{:016x}", asked.request));
+        let attempts = self.attempts(&view);
+        shared.note_line(FRAME + self.room(asked, refusal) + room(&attempts));
         let is_sent = self.is_sent() || refusal.is_none_or(|refusal| refusal.is_sent);
         log!(
             info,
@@ -166,13 +178,23 @@
             took_ms = millis(now.saturating_sub(self.arrived)),
             goal_ms = asked.and_then(|asked| asked.goal).map(millis),
             timeout_ms = asked.map(|asked| millis(asked.timeout)),
-            attempts = self.attempts(&view),
+            attempts,
             table = view.table.version,
             config = view.config.version,
             fresh_ms = view.fresh_at.map(|at| millis(now.saturating_sub(at)))
         );
     }
 
+    /// Bytes that the texts of a line take.
+    fn room(&self, asked: Option<&Asked>, refusal: Option<&Refusal>) -> usize {
+        let known = [text(self.attempt.as_ref()), text(self.host.as_ref())];
+        let named = asked.map(|asked| [short(&asked.service), short(&asked.workspace)]);
+        let told = refusal.map(|refusal| [refusal.kind.name(), short(&refusal.detail)]);
+        let texts = known.into_iter().flatten().chain(named.into_iter().flatten());
+        let texts = texts.chain(told.into_iter().flatten()).chain([short(self.path.as_str())]);
+        texts.map(room).sum()
+    }
+
     /// Whether an upstream may have got the request.
     fn is_sent(&self) -> bool {
         self.tries.borrow().iter().any(|one| one.sent() != "no")
@@ -284,6 +306,15 @@
     value.and_then(|value| value.to_str().ok()).map(short)
 }
 
+/// Bytes that a text takes within a line.
+pub fn room(text: &str) -> usize {
+    let escaped = text.bytes().filter(|byte| matches!(byte, b'"' | b'\\') || *byte < b' ').count();
+    text.len() + escaped * MAX_ESCAPE
+}
+
+/// Bytes that are added at most to write one that has to be escaped: `\u001b`.
+const MAX_ESCAPE: usize = 5;
+
 /// The beginning of a text, as far as a line has room for it.
 pub fn short(text: &str) -> &str {
     &text[..text.floor_char_boundary(MAX_TEXT)]
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -3,13 +3,18 @@
 //! Lines are written by a thread of their own: whoever reads them may stall or go away without
 //! anybody else waiting for it.
 
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use cactushold_admission::Omitted;
 use cactushold_config::settings::Format;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::event::Event;
+use crate::shared::Shared;
 
 /// Lines that may wait to be written, about a megabyte; further ones are lost and counted.
 const MAX_WAITING: usize = 4_096;
@@ -55,15 +60,40 @@
     }
 }
 
-/// Tells lost lines in a line of their own, for as long as the daemon runs.
-pub async fn tell_lost(lost: Lost) {
-    let mut told = 0;
+/// Tells lines that aren't in the log in a line of their own, for as long as the daemon runs.
+pub async fn tell_missing(missing: Rc<Missing>) {
     loop {
         tokio::time::sleep(TELL_LOST).await;
-        let lines = lost.lines();
+        missing.tell();
+    }
+}
+
+/// Lines that aren't in the log, and how many of them have been told.
+pub struct Missing {
+    lost: Lost,
+    shared: Arc<Shared>,
+    told_lost: Cell<u64>,
+    told_omitted: Cell<Omitted>,
+}
+
+impl Missing {
+    /// Nothing has been told yet.
+    pub fn new(lost: Lost, shared: Arc<Shared>) -> Missing {
+        Missing { lost, shared, told_lost: Cell::default(), told_omitted: Cell::default() }
+    }
+
+    /// Tells what hasn't been told.
+    pub fn tell(&self) {
+        let lines = self.lost.lines();
+        let told = self.told_lost.replace(lines);
         if lines > told {
             crate::log!(warn, Event::LinesLost, lines = lines - told);
-            told = lines;
+        }
+        let omitted = self.shared.omitted_lines();
+        let told = self.told_omitted.replace(omitted);
+        if omitted != told {
+            let (failed, late) = (omitted.failed - told.failed, omitted.late - told.late);
+            crate::log!(warn, Event::LinesLeftOut, failed, late);
         }
     }
 }
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -2,6 +2,7 @@
 
 use std::time::SystemTime;
 
+use cactushold_admission::Omitted;
 use cactushold_attempt::Kind;
 
 /// Answers to callers, by kind of refusal.
@@ -82,6 +83,15 @@
     metrics::counter!(LINES_LOST).absolute(lines);
 }
 
+/// Lines of requests that were left out, by what they were about.
+pub const LINES_LEFT_OUT: &str = "cactushold_request_lines_left_out_total";
+
+/// Tells how many lines of requests were left out since the start.
+pub fn lines_left_out(omitted: Omitted) {
+    metrics::counter!(LINES_LEFT_OUT, "of" => "failed").absolute(omitted.failed);
+    metrics::counter!(LINES_LEFT_OUT, "of" => "late").absolute(omitted.late);
+}
+
 /// Counts a refusal.
 pub fn refused(kind: Kind) {
     metrics::counter!(REFUSALS, "kind" => kind.name()).increment(1);
--- a/crates/daemon/src/peer/watch.rs
+++ b/crates/daemon/src/peer/watch.rs
@@ -1,11 +1,12 @@
 //! The run of another daemon's request here, told if it ends without an answer to that daemon.
 
+use cactushold_admission::Subject;
 use cactushold_lease::Time;
 use cactushold_platform::http::ATTEMPT;
 
 use crate::event::Event;
 use crate::exchange::{Answer, Progress, Request};
-use crate::ingress::short;
+use crate::ingress::{FRAME, room, short};
 use crate::shared::Shared;
 use crate::{clock, log};
 
@@ -39,10 +40,16 @@
     }
 
     fn tell(&self, kind: &str, detail: &str, now: Time) {
+        if !self.shared.takes_line(Subject::Failed) {
+            return;
+        }
         let view = self.shared.view();
         let (request, age) = (self.request, |at: Time| now.saturating_sub(at).as_millis() as u64);
         let attempt = request.headers.get(ATTEMPT).and_then(|value| value.to_str().ok());
         let slice = request.key.and_then(|key| view.table.locate(&request.service, key));
+        let texts = [attempt.unwrap_or_default(), &request.path, &request.service];
+        let texts = texts.into_iter().chain([request.workspace.as_str(), kind, detail]);
+        self.shared.note_line(FRAME + texts.map(|text| room(short(text))).sum::<usize>());
         log!(
             info,
             Event::AttemptFailed,
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,6 +1,6 @@
 //! Tables shared by all workers.
 //!
-//! Lock order: `setup`, `view`, `guard`, `quota`, `scores`, `forecasts`, `hints`. No thread holds two
+//! Lock order: `setup`, `view`, `guard`, `quota`, `scores`, `forecasts`, `hints`, `request_lines`. No thread holds two
 //! of them at a time today, and none is held across an await.
 
 use std::borrow::Cow;
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::Duration;
 
-use cactushold_admission::Shutdown;
+use cactushold_admission::{Allowance, Omitted, Shutdown, Subject, Volume};
 use cactushold_attempt::{Forecast, Score};
 use cactushold_config::settings::Instance;
 use cactushold_config::{Config, Router, Settings};
@@ -136,6 +136,7 @@
     forecasts: Mutex<HashMap<Incarnation, Forecast>>,
     hints: Mutex<BTreeMap<SliceId, Incarnation>>,
     attempts: AtomicU64,
+    request_lines: Mutex<Allowance>,
     shutdown: watch::Sender<Option<Shutdown>>,
     open: AtomicUsize,
     /// When another daemon forwarded the latest request, in microseconds.
@@ -189,6 +190,7 @@
             forecasts: Mutex::default(),
             hints: Mutex::default(),
             attempts: AtomicU64::new(fastrand::u64(..1 << 40) << 20),
+            request_lines: Mutex::default(),
             shutdown: watch::Sender::new(None),
             open: AtomicUsize::new(0),
             forwarded_us: AtomicU64::new(0),
@@ -260,6 +262,23 @@
         lock(&self.hints)
     }
 
+    /// Whether the log takes a line of a request now.
+    pub fn takes_line(&self, subject: Subject) -> bool {
+        let log = self.settings().log;
+        let volume = Volume { lines: log.request_lines, bytes: log.request_bytes };
+        lock(&self.request_lines).takes(subject, volume, clock::now())
+    }
+
+    /// Notes the length of a line of a request.
+    pub fn note_line(&self, bytes: usize) {
+        lock(&self.request_lines).wrote(bytes);
+    }
+
+    /// Lines of requests that were left out of the log.
+    pub fn omitted_lines(&self) -> Omitted {
+        lock(&self.request_lines).omitted()
+    }
+
     /// An attempt id that is unique over the fleet.
     pub fn next_attempt(&self) -> u64 {
         self.attempts.fetch_add(1, Ordering::Relaxed)
--- a/crates/daemon/tests/docs.rs
+++ b/crates/daemon/tests/docs.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use cactushold_attempt::{Advice, Kind, Ran};
-use cactushold_config::settings::Limits;
+use cactushold_config::settings::{Limits, Log};
 use cactushold_daemon::event::Event;
 
 fn document(name: &str) -> PathBuf {
@@ -88,6 +88,19 @@
     check("OPERATIONS.md", "limits", &table);
 }
 
+#[test]
+fn the_logs_volume_is_documented_with_its_defaults() {
+    let log = Log::default();
+    let mut table = String::from("| key | default | unit | meaning |\n|---|---|---|---|\n");
+    for (key, default, unit, meaning) in [
+        ("log.request_lines", log.request_lines, "lines a second", "Lines of requests"),
+        ("log.request_bytes", log.request_bytes, "bytes a second", "Bytes of these lines"),
+    ] {
+        table += &format!("| `{key}` | {default} | {unit} | {meaning} |\n");
+    }
+    check("OPERATIONS.md", "log", &table);
+}
+
 /// Every test in the workspace, by crate or `S` for the sessions, file and name.
 fn all_tests() -> String {
     let mut all = String::new();
--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -157,6 +157,14 @@
     find().unwrap_or_default()
 }
 
+/// Has a daemon put another volume of lines of requests in force.
+pub async fn set_volume(environment: &Environment, index: usize, lines: u32, bytes: u32) {
+    let volume = format!("[log]\nrequest_lines = {lines}\nrequest_bytes = {bytes}\n");
+    environment.daemons[index].edit_settings("[log]\n", &volume);
+    environment.daemons[index].hang_up();
+    until_logged(environment, index, "settings-in-force").await;
+}
+
 /// Everything that servers of keys hold now.
 pub fn held(environment: &Environment) -> Vec<Held> {
     let servers = environment.daemons.iter().filter_map(|daemon| daemon.server.as_ref());
--- a/crates/daemon/tests/platform/logs.rs
+++ b/crates/daemon/tests/platform/logs.rs
@@ -4,7 +4,7 @@
 use cactushold_standin::environment::Environment;
 use futures::future::join_all;
 
-use crate::cases::{RULING, ask, until_logged};
+use crate::cases::{RULING, ask, set_volume, until_logged};
 
 /// Refusals, each with a line; several times what a pipe and the daemon hold.
 const REFUSALS: usize = 8_000;
@@ -14,6 +14,7 @@
 async fn refusals_under(reader: Reader) -> Environment {
     let mut environment = Environment::new().await;
     environment.add_reporting("ruling-1", "a", "ruling").await;
+    set_volume(&environment, 0, u32::MAX, u32::MAX).await;
     environment.daemons[0].set_log_reader(reader);
     for _ in 0..REFUSALS / CALLERS {
         for answer in join_all((0..CALLERS).map(|_| ask(&environment, 0, RULING))).await {
--- a/crates/daemon/tests/platform/traces.rs
+++ b/crates/daemon/tests/platform/traces.rs
@@ -1,12 +1,13 @@
 //! What the logs tell of a request that was refused, failed or late.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactushold_standin::environment::Environment;
 use cactushold_standin::server::Server;
+use futures::future::join_all;
 use serde_json::Value;
 
-use crate::cases::{Ask, RULING, ask_as, deployment, until};
+use crate::cases::{Ask, RULING, ask, ask_as, deployment, set_volume, until};
 
 /// Daemons beside servers that run rulings.
 const RULERS: [usize; 2] = [3, 4];
@@ -119,3 +120,55 @@
     assert!(line.to_string().len() < 1_000, "{line}");
     assert!(line["path"].as_str().is_some_and(|text| text.len() == 160), "{line}");
 }
+
+/// Refusals of a flood, and callers at a time.
+const REFUSALS: usize = 2_000;
+const CALLERS: usize = 50;
+
+/// A daemon whose settings were changed to let this much through, flooded with refusals: the bytes
+/// of each line that it logged of them, the lines that it tells as left out, and the flood's time.
+async fn flood(lines: u32, bytes: u32) -> (Vec<usize>, u64, Duration) {
+    let mut environment = Environment::new().await;
+    environment.add_reporting("ruling-1", "a", "ruling").await;
+    set_volume(&environment, 0, lines, bytes).await;
+    let start = Instant::now();
+    for _ in 0..REFUSALS / CALLERS {
+        for answer in join_all((0..CALLERS).map(|_| ask(&environment, 0, RULING))).await {
+            assert_eq!(answer.map(|answer| answer.status.as_u16()), Ok(503));
+        }
+    }
+    let time = start.elapsed();
+    let logged = || -> Vec<usize> {
+        let log = environment.daemons[0].log();
+        log.iter().filter(|line| line.contains("\"event\":402")).map(String::len).collect()
+    };
+    let left_out = || -> u64 {
+        let log = environment.daemons[0].log();
+        let lines = log.iter().filter(|line| line.contains("\"name\":\"lines-left-out\""));
+        let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter_map(|line| line["failed"].as_u64()).sum()
+    };
+    until("each refusal is logged or counted", async || {
+        logged().len() as u64 + left_out() >= REFUSALS as u64
+    })
+    .await;
+    (logged(), left_out(), time)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_refusals_gets_its_lines_and_the_rest_is_counted() {
+    let (logged, left_out, time) = flood(20, 10_000_000).await;
+    assert_eq!(logged.len() as u64 + left_out, REFUSALS as u64);
+    let most = 20.0 * (time.as_secs_f64() + 1.0);
+    assert!(logged.len() >= 20 && logged.len() as f64 <= most, "{} in {time:?}", logged.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_refusals_gets_its_bytes_and_the_rest_is_counted() {
+    let (logged, left_out, time) = flood(100_000, 10_000).await;
+    assert_eq!(logged.len() as u64 + left_out, REFUSALS as u64);
+    let longest = logged.iter().copied().max().unwrap_or_default();
+    let most = 10_000.0 * (time.as_secs_f64() + 1.0) + longest as f64;
+    let bytes: usize = logged.iter().sum();
+    assert!(!logged.is_empty() && bytes as f64 <= most, "{bytes} in {time:?}");
+}
