Add cactusctl explain: the way of one request through collected logs

What was seen: to find why one request failed, several daemons' logs had to be read side by side.

Change: `cactusctl explain ID [FILE...]` reads JSON lines (text before the object may name the daemon, else the file does), prints the request's attempts and runs with the events around them at the daemons that it met, and one line with the cause. Causes are claimed only from a line that shows them: a stop, a start without a stop, a stall, a server that ended, a run that lasted to the deadline, a quiet connection that nothing came over, a kind that is a cause itself. Otherwise it says what was looked for and exits with 6. Moments of different daemons are compared as their clocks tell them. `--daemon` is now asked for only by commands that call one; the error has the same exit code.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -33,6 +33,8 @@
     Status,
     /// Print instances and their upstreams.
     Upstreams,
+    /// Print the way of a request and why it failed.
+    Explain(Explain),
     /// Create or change a service.
     SetService(Service),
     /// Remove a service.
@@ -51,6 +53,15 @@
     Retire(u64),
 }
 
+/// A request to explain.
+#[derive(Clone, Debug)]
+pub struct Explain {
+    /// Its identity.
+    pub id: String,
+    /// Collected logs; standard input without any.
+    pub files: Vec<PathBuf>,
+}
+
 /// Settings of a service.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -99,7 +110,7 @@
         .env("CACTUSHOLD_DAEMON")
         .help("Operators' address of a daemon; may be repeated")
         .argument::<SocketAddr>("ADDR")
-        .some("name a daemon with --daemon or CACTUSHOLD_DAEMON");
+        .many();
     let json = bpaf::long("json").help("Print JSON").switch();
     let base = bpaf::long("base")
         .help("Version that the change is based on [default: the current one]")
@@ -116,7 +127,7 @@
         .descr("Operates cactushold: configuration by numbered patches, and its state.")
         .footer(
             "Exit codes: 0 done, 1 failure or bad usage, 3 refused and nothing changed, \
-             4 outcome unknown, 5 no daemon answers.",
+             4 outcome unknown, 5 no daemon answers, 6 the lines don't tell the cause.",
         )
 }
 
@@ -143,6 +154,7 @@
         .to_options()
         .descr("Upstreams announce themselves; they can only be listed")
         .command("upstream");
+    let explain = explain();
     let service = service();
     let zone = zone();
     let workspace = workspace();
@@ -156,7 +168,22 @@
         .to_options()
         .descr("Manage instances")
         .command("instance");
-    construct!([get, diff, patch, status, upstream, service, zone, workspace, key, instance])
+    construct!([
+        get, diff, patch, status, upstream, explain, service, zone, workspace, key, instance
+    ])
+}
+
+fn explain() -> impl Parser<Command> {
+    let id = bpaf::positional::<String>("ID")
+        .help("Identity that the caller gave the request, or the one between daemons");
+    let files = bpaf::positional::<PathBuf>("FILE")
+        .help("Logs of all daemons as JSON lines [default: standard input]")
+        .many();
+    construct!(Explain { id, files })
+        .map(Command::Explain)
+        .to_options()
+        .descr("Print the way of a failed or late request through collected logs, and the cause")
+        .command("explain")
 }
 
 fn file(help: &'static str) -> impl Parser<PathBuf> {
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod diff;
+mod explain;
 mod get;
 mod patch;
 mod status;
@@ -16,6 +17,12 @@
 /// # Errors
 /// It failed; the error tells what is known.
 pub async fn run(options: &Options) -> Result<(), Error> {
+    if let Command::Explain(request) = &options.command {
+        return explain::run(options, request);
+    }
+    if options.daemons.is_empty() {
+        return Err(Error::NoDaemon);
+    }
     let daemons = Daemons::new(options.daemons.clone());
     match &options.command {
         Command::Get => get::run(&daemons, options).await,
@@ -23,6 +30,8 @@
         Command::Patch(path) => patch::send_file(&daemons, options, path).await,
         Command::Status => status::run(&daemons, options).await,
         Command::Upstreams => status::list_upstreams(&daemons, options).await,
+        // Needs no daemon.
+        Command::Explain(_) => Ok(()),
         Command::GrantKey(grant) => patch::grant_key(&daemons, options, grant).await,
         Command::SetService(_)
         | Command::RemoveService(_)
@@ -67,6 +76,7 @@
         | Command::Patch(_)
         | Command::Status
         | Command::Upstreams
+        | Command::Explain(_)
         | Command::GrantKey(_) => return None,
     };
     Some(operation)
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -15,6 +15,8 @@
     Unknown,
     /// No daemon answered.
     Unreachable,
+    /// The lines don't tell the cause of a request's failure.
+    Unexplained,
 }
 
 impl From<Exit> for ExitCode {
@@ -25,6 +27,7 @@
             Exit::Refused => 3,
             Exit::Unknown => 4,
             Exit::Unreachable => 5,
+            Exit::Unexplained => 6,
         })
     }
 }
