--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -67,6 +67,8 @@
     LinesLost = 123, "lines-lost";
     /// A thread was late for its own timers: it was busy, or got no processor.
     Stalled = 124, "stalled";
+    /// Lines of requests were left out: there were more than the settings let through.
+    LinesLeftOut = 125, "lines-left-out";
     /// A newer configuration is in force here.
     ConfigInForce = 200, "config-in-force";
     /// A newer slice table is in force here.
@@ -99,6 +101,11 @@
     Fresh = 401, "fresh";
     /// A request was refused or failed.
     RequestFailed = 402, "request-failed";
+    /// An attempt of another daemon's request got to the upstream here and wasn't answered, or that
+    /// daemon waits for it no longer.
+    AttemptFailed = 403, "attempt-failed";
+    /// A request was answered after its route's goal.
+    RequestLate = 404, "request-late";
     /// Nothing was heard over a connection for too long; new calls go over another one.
     SilentConnection = 500, "silent-connection";
     /// A graceful shutdown began.
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -19,3 +19,4 @@
 mod silence;
 mod stalls;
 mod stops;
+mod traces;
