Show that daemons without descriptors end nothing that they answer

All five daemons of a deployment may open nothing for some 3 s, while a caller of each keeps its connection: every request is answered 200 and ran, or 503 and didn't; no process ends, no two servers hold a key, and all is served again afterwards.

--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -16,6 +16,7 @@
 mod path;
 mod pipelines;
 mod reload;
+mod scarce;
 mod silence;
 mod stalls;
 mod stops;
