Check a daemon's connections anew once what one of them is owed has had its least time

What callers saw: 504 for seconds after a connection to another daemon went silent, if there had been a cut some seconds before.

Cause: the check of a suspect connection held the daemon's lock until everything owed had had its time, which is as long as the silence was, though no call was open any more. Connections that were made during the cut are checked one after the other, each silent for longer by then. Meanwhile a suspect connection counts as usable, and its own check doesn't begin.

Change: the lock is held for OWED at the most after the other connection has answered, as before; the rest of a longer wait goes on without it. The wait ends with the last call.

--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -144,22 +144,26 @@
             self.tell_silence(asked, clock::now());
             is_alive = tokio::select! {
                 is_alive = &mut sign => Some(is_alive),
-                () = self.until_given_up() => None,
+                is_lost = self.until_given_up() => is_lost.then_some(false),
             };
         }
-        self.set(if is_alive == Some(true) { State::Working } else { State::Lost });
+        match is_alive {
+            Some(true) => self.set(State::Working),
+            Some(false) => self.set(State::Lost),
+            None => {}
+        }
     }
 
-    /// Returns once other connections show that no answer will come over this one: the daemon
-    /// answers there, or can't be reached at all. What it owes here still gets the time to arrive.
-    async fn until_given_up(&self) {
-        let Some(siblings) = self.siblings.upgrade() else { return };
+    /// Whether other connections show that no answer will come over this one: the daemon answers
+    /// there, or can't be reached at all. What it owes here still gets the time to arrive. Without a
+    /// call open, nobody waits for the outcome and nothing is shown.
+    async fn until_given_up(&self) -> bool {
+        let Some(siblings) = self.siblings.upgrade() else { return true };
         let check = siblings.check_of(self.address);
         // One check of a daemon at a time: more connections make a slow one slower.
-        let _checking = check.lock().await;
+        let checking = check.lock().await;
         siblings.forget(self);
         let mut dials = 0;
-        // Without a call open, nobody waits for the outcome.
         while dials < MAX_DIALS && self.open.get() > 0 {
             let other = match Table::get(&siblings, self.address).await {
                 Ok(other) => other,
@@ -178,8 +182,22 @@
             }
         }
         // What was sent during a cut is sent again after as long a time as the cut lasted.
-        let owed = OWED.max(clock::now().saturating_sub(self.quiet_since()));
-        stall::timeout(owed, std::future::pending::<()>()).await;
+        let silence = clock::now().saturating_sub(self.quiet_since());
+        self.wait_while_open(OWED).await;
+        // Other connections go unchecked until then.
+        drop(checking);
+        self.wait_while_open(silence.saturating_sub(OWED)).await;
+        self.open.get() > 0
+    }
+
+    /// Waits for a time, or until no call is open.
+    async fn wait_while_open(&self, time: Duration) {
+        let mut left = time;
+        while !left.is_zero() && self.open.get() > 0 {
+            let step = left.min(REDIAL);
+            stall::timeout(step, std::future::pending::<()>()).await;
+            left -= step;
+        }
     }
 
     /// Tells a stall of the thread, unless another connection has told it.
