Let a leader that the store alone turns away resign

What callers saw: while the store refused the daemon that led, or nothing came back to it, keys of an ended server had no holder and keys in a zone that was out stayed there, for as long as that lasted.

Cause: members that reach the store pass its word on to the leader, so it stays valid and is heard by all; but it can store no table, and nobody else stands.

In the search, a leader that keeps the lead (the deviating fake KeepsLead) leaves keys without a server.

Change: a leader whose read of the table failed asks members to ask the store after 1 s, instead of 4.5 s without word. If they had answers for 1 s and longer and a read that it asked for after the first of them failed as well, it resigns. Any call of it that fails has it read the table at once; otherwise it does so each 3 s, also where members brought the store's word.

Tests: addresses of the stand-in store for single daemons, which refuse or keep silent; five pure ones; the search knows a store that turns the leader away, and the word that members pass on, and asks that all keys are served again with the leader turned away for good.

Open: a leader whose reads the store answers and whose writes it alone refuses keeps the lead.

--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -254,6 +254,10 @@
 
     /// Asks the store for its word on the term, on behalf of a leader that can't reach it.
     pub(super) async fn ask_store(self: Rc<Self>) {
+        // A leader reads the table for itself; what it is told counts as the store's answer to others.
+        if self.is_leading() {
+            return;
+        }
         let now = clock::now();
         let is_recent = |(_, at): (u64, Time)| now < at + RECENT;
         if self.word.get().is_some_and(is_recent) {
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -45,12 +45,28 @@
     pub(super) async fn lead(self: &Rc<Self>) -> Result<(), Error> {
         let now = clock::now();
         let has_to_read = self.leader.borrow().as_ref().is_some_and(|l| l.has_to_read(now));
-        if has_to_read {
-            self.read_back().await?;
+        if has_to_read && let Err(error) = self.read_back().await {
+            self.resign_if_turned_away(now);
+            return Err(error);
         }
         self.revise(clock::now()).await
     }
 
+    /// Resigns if a read of the table, asked for at `asked`, failed while members get answers.
+    fn resign_if_turned_away(&self, asked: Time) {
+        let is_sure = self.leader.borrow_mut().as_mut().is_some_and(|l| l.turned_away(asked));
+        if is_sure {
+            self.resign();
+        }
+    }
+
+    /// Notes that a call to the store failed: a leader looks whether the store answers it.
+    pub(super) fn note_failed_call(&self) {
+        if let Some(leader) = self.leader.borrow_mut().as_mut() {
+            leader.suspect();
+        }
+    }
+
     /// Reads the table's object: whether this daemon still leads, and what became of a write.
     async fn read_back(self: &Rc<Self>) -> Result<(), Error> {
         let asked = clock::now();
@@ -90,6 +106,7 @@
             Err(error) => {
                 // Whether it takes effect is known once the object was written again.
                 log!(info, Event::AnswerLost, what = "table", reason = %error);
+                self.note_failed_call();
                 Err(error)
             }
         }
@@ -120,6 +137,7 @@
                 Err(Error::HistoryGone) => after = None,
                 Err(error) => {
                     log!(info, Event::PlatformUnavailable, what = ENTRIES, reason = %error);
+                    self.note_failed_call();
                     tokio::time::sleep(pacer.failed()).await;
                 }
             }
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -51,6 +51,7 @@
                 Err(Error::HistoryGone) => followed.after = None,
                 Err(error) => {
                     log!(info, Event::PlatformUnavailable, what = followed.kind, reason = %error);
+                    self.note_failed_call();
                     tokio::time::sleep(followed.pacer.failed()).await;
                 }
             }
--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -75,6 +75,15 @@
     })
 }
 
+/// The daemons of the sessions: name, zone, service.
+const INSTANCES: [(&str, &str, &str); 5] = [
+    ("lookup-1", "a", "lookup"),
+    ("lookup-2", "b", "lookup"),
+    ("lookup-3", "c", "lookup"),
+    ("ruling-1", "a", "ruling"),
+    ("ruling-2", "b", "ruling"),
+];
+
 /// Two services in three zones, with the configuration stored and every key served.
 pub async fn deployment() -> Environment {
     deployment_with("").await
@@ -94,14 +103,21 @@
 pub async fn deployment_of(prepare: impl FnOnce(&mut Environment)) -> Environment {
     let mut environment = Environment::new().await;
     prepare(&mut environment);
+    fill(environment).await
+}
+
+/// The same, where each daemon has its own address of the store.
+pub async fn deployment_with_doors() -> Environment {
+    let mut environment = Environment::new().await;
+    for (name, _, _) in INSTANCES {
+        environment.open_door(name).await;
+    }
+    fill(environment).await
+}
+
+async fn fill(mut environment: Environment) -> Environment {
     environment.store("config", "main", &config(1)).await;
-    for (name, zone, service) in [
-        ("lookup-1", "a", "lookup"),
-        ("lookup-2", "b", "lookup"),
-        ("lookup-3", "c", "lookup"),
-        ("ruling-1", "a", "ruling"),
-        ("ruling-2", "b", "ruling"),
-    ] {
+    for (name, zone, service) in INSTANCES {
         environment.add_reporting(name, zone, service).await;
     }
     until_held(&environment).await;
--- a/crates/daemon/tests/platform/ownership.rs
+++ b/crates/daemon/tests/platform/ownership.rs
@@ -7,10 +7,16 @@
 use serde_json::{Value, json};
 
 use crate::cases::{
-    ask, assert_sole, deployment, histories, holder, lookup, until, until_held, until_holder,
-    until_logged,
+    ask, assert_sole, deployment, deployment_with_doors, histories, holder, leader, lookup, until,
+    until_held, until_holder, until_logged,
 };
 
+/// Time in which keys have to move although the store refuses the leader: the platform's bound on
+/// emptying a zone, 5 s, stretched by the 5 s that it allows for a store in disturbance.
+const STRETCHED: Duration = Duration::from_secs(10);
+/// The same where the leader gets no answer, and each of its calls takes its whole deadline: the
+/// platform's bound on recovery.
+const RECOVERY: Duration = Duration::from_secs(15);
 /// A key position that the sessions follow.
 const POSITION: u16 = 30_000;
 
@@ -140,3 +146,76 @@
     assert_sole(&histories(&environment));
     assert_eq!(rows(&environment, index), before);
 }
+
+/// Ways in which the store turns one daemon away, and the bounds under them: it refuses, or nothing
+/// comes back.
+const TURNS_AWAY: [(&str, Duration); 2] = [("outage", STRETCHED), ("mute", RECOVERY)];
+
+/// Index of a daemon beside a server of keys that doesn't lead, and of the leader.
+async fn other_and_leader(environment: &Environment) -> (usize, usize) {
+    let leader = leader(environment).await;
+    ((leader + 1) % 3, leader)
+}
+
+fn position_of(environment: &Environment, index: usize) -> u16 {
+    let held = environment.daemons[index].server.as_ref().expect("a server").held();
+    held.first().expect("it holds keys").first
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_an_ended_server_are_served_again_though_the_store_turns_the_leader_away() {
+    for (way, bound) in TURNS_AWAY {
+        let mut environment = deployment_with_doors().await;
+        let (index, leader) = other_and_leader(&environment).await;
+        let position = position_of(&environment, index);
+        environment.door_faults(leader, json!({ way: true })).await;
+        environment.end_server(index);
+        let waited = until("the key served", async || {
+            let answer = ask(&environment, leader, lookup(position)).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        assert!(waited < bound, "{way}: {waited:?}");
+        assert_sole(&histories(&environment));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_leave_a_zone_that_is_out_though_the_store_turns_the_leader_away() {
+    for (way, bound) in TURNS_AWAY {
+        let environment = deployment_with_doors().await;
+        let (index, leader) = other_and_leader(&environment).await;
+        let position = position_of(&environment, index);
+        environment.door_faults(leader, json!({ way: true })).await;
+        let zone = environment.daemons[index].zone.clone();
+        environment.store("evacuations", &zone, &json!({})).await;
+        let waited = until("the key elsewhere", async || {
+            holder(&environment, position).is_some_and(|holder| holder != index)
+        })
+        .await;
+        assert!(waited < bound, "{way}: {waited:?}");
+        assert_sole(&histories(&environment));
+    }
+}
+
+/// How often daemons began to lead.
+fn elections(environment: &Environment) -> usize {
+    let lines = environment.daemons.iter().flat_map(|daemon| daemon.log());
+    lines.filter(|line| line.contains("\"name\":\"leading\"")).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_keeps_the_lead_through_an_outage_for_everybody() {
+    for (way, _) in TURNS_AWAY {
+        let environment = deployment().await;
+        let before = leader(&environment).await;
+        let elected = elections(&environment);
+        environment.platform_faults(json!({ way: true })).await;
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        environment.platform_faults(json!({})).await;
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        assert_eq!(leader(&environment).await, before, "{way}");
+        assert_eq!(elections(&environment), elected, "{way}");
+        until_served(&environment, 0).await;
+    }
+}
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -16,6 +16,10 @@
 const ASK_AGAIN: Duration = Duration::from_secs(3);
 /// Without word for this long, members are asked to ask.
 const WANT_WORD: Duration = Duration::from_millis(4_500);
+/// A store that doesn't answer the leader for this long turns it away, or everybody: members are
+/// asked to ask. For this long it then has to answer them and not the leader; beyond the longest
+/// pause between two tries of a leader.
+const TURNED_AWAY: Duration = Duration::from_secs(1);
 /// A member not heard for this long, nearly three heartbeats, counts as silent.
 const SILENT: Duration = Duration::from_millis(1_100);
 /// A leader that wasn't called for this long stood still: its own heartbeat comes each 400 ms.
@@ -49,6 +53,30 @@
     }
 }
 
+/// What a leader that the store doesn't answer knows of the store's answers to members.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    /// When the first read that failed was asked for.
+    since: Time,
+    /// When members first and last asked what the store then answered.
+    others: Option<(Time, Time)>,
+}
+
+impl Refusal {
+    fn note_answer_to_member(&mut self, asked: Time) {
+        if asked > self.since {
+            let (first, last) = self.others.unwrap_or((asked, asked));
+            self.others = Some((first, last.max(asked)));
+        }
+    }
+
+    /// Whether a read asked for at `asked` failed while the store went on answering members.
+    fn is_sure(&self, asked: Time) -> bool {
+        let goes_on = |(first, last)| asked > first && last >= first + TURNED_AWAY;
+        self.others.is_some_and(goes_on)
+    }
+}
+
 /// One term of a leader.
 #[derive(Clone, Debug)]
 pub struct Leader {
@@ -78,6 +106,11 @@
     balanced: Time,
     /// When the latest table was stored.
     written: Time,
+    /// When the leader last asked what the store answered.
+    answered: Time,
+    /// Whether a call failed since then.
+    is_suspicious: bool,
+    refusal: Option<Refusal>,
 }
 
 impl Leader {
@@ -103,6 +136,9 @@
             lag: Lag::default(),
             balanced: now,
             written: now,
+            answered: asked,
+            is_suspicious: false,
+            refusal: None,
         }
     }
 
@@ -141,7 +177,11 @@
     ) -> Renewal {
         self.run(now);
         if let Some(age) = heartbeat.word_age {
-            self.lessor.assure(now.saturating_sub(age + self.lag.longest));
+            let asked = now.saturating_sub(age + self.lag.longest);
+            self.lessor.assure(asked);
+            if let Some(refusal) = &mut self.refusal {
+                refusal.note_answer_to_member(asked);
+            }
         }
         if table.members.contains_key(&from) {
             for release in &heartbeat.releases {
@@ -163,11 +203,16 @@
             sent: heartbeat.sent,
             lease: if may { LEASE } else { Duration::ZERO },
             leads: true,
-            wants_word: now > self.lessor.assured() + WANT_WORD,
+            wants_word: self.wants_word(now),
             silent: self.silent.clone(),
         }
     }
 
+    fn wants_word(&self, now: Time) -> bool {
+        let is_refused = |refusal: &Refusal| now > refusal.since + TURNED_AWAY;
+        now > self.lessor.assured() + WANT_WORD || self.refusal.as_ref().is_some_and(is_refused)
+    }
+
     /// Notes that it runs. A time without a call in which it stood still counts as one look.
     fn run(&mut self, now: Time) {
         let gap = now.saturating_sub(self.called);
@@ -188,12 +233,34 @@
 
     /// Whether the object has to be read before anything else.
     pub fn has_to_read(&self, now: Time) -> bool {
-        self.revision.is_none() || now > self.lessor.assured() + ASK_AGAIN
+        let is_unsure = self.revision.is_none() || self.is_suspicious || self.refusal.is_some();
+        is_unsure || now > self.answered + ASK_AGAIN
+    }
+
+    /// A call to the store failed; whether it answers is seen by reading the object.
+    pub fn suspect(&mut self) {
+        self.is_suspicious = true;
+    }
+
+    /// The object was asked for at `asked` and couldn't be read; whether this leader has to resign.
+    /// While the store answers members and not the leader, one of them can store tables; while it
+    /// answers nobody, none can, and keeping the lead keeps the leases. What this leader wrote may
+    /// still take effect, as after its death: the next one's write decides it.
+    pub fn turned_away(&mut self, asked: Time) -> bool {
+        let refusal = self.refusal.get_or_insert(Refusal { since: asked, others: None });
+        refusal.is_sure(asked)
+    }
+
+    fn answered(&mut self, asked: Time) {
+        self.answered = self.answered.max(asked);
+        self.is_suspicious = false;
+        self.refusal = None;
+        self.lessor.assure(asked);
     }
 
     /// The object was read, having been asked for at `asked`: it still names this leader.
     pub fn read_back(&mut self, revision: Revision, asked: Time) {
-        self.lessor.assure(asked);
+        self.answered(asked);
         // At another revision no earlier write can take effect any more; at the same one, a write
         // that wasn't answered still may.
         if self.revision != Some(revision) {
@@ -205,7 +272,7 @@
     /// The table was stored.
     pub fn stored(&mut self, table: &Table, revision: Revision, asked: Time) {
         self.written = asked;
-        self.lessor.assure(asked);
+        self.answered(asked);
         self.lessor.absolve();
         self.revision = Some(revision);
         let is_open = |service: &String, first: Position, fence: u64| {
--- a/crates/ownership/tests/leader.rs
+++ b/crates/ownership/tests/leader.rs
@@ -193,3 +193,70 @@
         assert!(!session.holders().contains(&MEMBERS[0]), "{still} ms still, {running} ms running");
     }
 }
+
+/// Words of a member that asks the store each second, and reads that fail beside them; whether the
+/// leader resigns in one of them.
+fn resigns(session: &mut Session, rounds: u32, members_reach_it: bool) -> bool {
+    (0..rounds).any(|_| {
+        session.now += Duration::from_millis(500);
+        let word_age = members_reach_it.then_some(Duration::ZERO);
+        let heartbeat = Heartbeat { sent: session.now, term: 1, word_age, ..Heartbeat::default() };
+        session.leader.hear(MEMBERS[0], heartbeat, &session.table, session.now);
+        session.now += Duration::from_millis(500);
+        session.leader.turned_away(session.now)
+    })
+}
+
+#[test]
+fn a_leader_that_the_store_alone_turns_away_resigns() {
+    let mut session = Session::new();
+    assert!(!session.leader.turned_away(session.now), "it may be a moment only");
+    assert!(session.leader.has_to_read(session.now));
+    session.now += Duration::from_millis(1_200);
+    assert!(session.hear(MEMBERS[0]).wants_word);
+    assert!(resigns(&mut session, 4, true));
+}
+
+#[test]
+fn a_leader_keeps_the_lead_while_the_store_answers_nobody() {
+    let mut session = Session::new();
+    assert!(!resigns(&mut session, 60, false));
+}
+
+#[test]
+fn a_leader_that_the_store_answers_now_and_then_keeps_the_lead() {
+    let mut session = Session::new();
+    for _ in 0..30 {
+        assert!(!resigns(&mut session, 1, true));
+        session.leader.read_back(session.revision, session.now);
+    }
+}
+
+#[test]
+fn a_leader_whose_last_read_began_before_the_store_was_back_keeps_the_lead() {
+    let mut session = Session::new();
+    let asked = session.now;
+    session.leader.turned_away(asked);
+    for _ in 0..3 {
+        assert!(!session.leader.turned_away(asked));
+        session.now += Duration::from_secs(1);
+        let word_age = Some(Duration::ZERO);
+        let heartbeat = Heartbeat { sent: session.now, term: 1, word_age, ..Heartbeat::default() };
+        session.leader.hear(MEMBERS[0], heartbeat, &session.table, session.now);
+    }
+    assert!(!session.leader.turned_away(asked));
+    session.leader.read_back(session.revision, session.now);
+    assert!(!session.leader.has_to_read(session.now));
+}
+
+#[test]
+fn writes_that_fail_beside_reads_that_are_answered_cost_no_lead() {
+    let mut session = Session::new();
+    for _ in 0..10 {
+        session.leader.suspect();
+        assert!(session.leader.has_to_read(session.now));
+        session.leader.read_back(session.revision, session.now);
+        assert!(!resigns(&mut session, 1, true));
+        session.leader.read_back(session.revision, session.now);
+    }
+}
--- a/crates/ownership/tests/search.rs
+++ b/crates/ownership/tests/search.rs
@@ -13,6 +13,11 @@
 /// Schedules in which a deviating machine has to be caught.
 const CATCH: u64 = 100_000;
 
+/// Time after which keys are served again although the store turns the leader away: it resigns after
+/// 8 s at most, another one is elected in 2 s, and a holder that is silent as well has lapsed 11.6 s
+/// later.
+const TURNED_AWAY: Duration = Duration::from_secs(25);
+
 fn number(name: &str, usual: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
 }
@@ -61,6 +66,28 @@
     }
 }
 
+/// A schedule after which keys stay without a server if the store turns the leader away for good.
+fn any_key_left(deviation: Option<Deviation>, count: u64) -> Option<String> {
+    (0..count).find_map(|seed| {
+        let mut world = World::new(seed, deviation);
+        world.run(LENGTH).expect("no fault");
+        world.turn_leader_away();
+        let waited = world.until_served(TURNED_AWAY);
+        waited.is_none().then(|| format!("seed {seed}: {}", world.describe()))
+    })
+}
+
+#[test]
+fn keys_are_served_again_though_the_store_turns_the_leader_away_for_good() {
+    assert_eq!(any_key_left(None, 300), None, "keys without a server");
+}
+
+#[test]
+fn keeping_the_lead_while_the_store_turns_the_leader_away_is_caught() {
+    let left = any_key_left(Some(Deviation::KeepsLead), 300);
+    assert!(left.is_some(), "no key stayed without a server");
+}
+
 fn is_caught(deviation: Deviation) {
     let fault = any_fault(Some(deviation), 0, CATCH);
     assert!(fault.is_some(), "{deviation:?} wasn't caught");
--- a/crates/ownership/tests/world/leading.rs
+++ b/crates/ownership/tests/world/leading.rs
@@ -21,7 +21,7 @@
             if !daemon.ended.contains(&id) {
                 daemon.ended.push(id);
             }
-            if self.store.is_reachable(self.now) {
+            if self.reaches_store(index) {
                 self.store.end(id);
             }
         }
@@ -43,7 +43,7 @@
         if self.is_announced_life_in_place(index) {
             return;
         }
-        if !self.store.is_reachable(self.now) {
+        if !self.reaches_store(index) {
             return;
         }
         let id = self.store.register(index, life);
@@ -56,7 +56,7 @@
         let is_own = leader_of(&daemon.table) == Some(index);
         let silence = SILENCE + Duration::from_millis(self.random.u64(..800));
         let is_lost = self.now > daemon.heard + silence || is_own || daemon.table.version == 0;
-        if !is_lost || !self.store.is_reachable(self.now) {
+        if !is_lost || !self.reaches_store(index) {
             return;
         }
         let (revision, stored) = self.store.read();
@@ -87,6 +87,16 @@
         }
     }
 
+    /// Asks the store for its word on behalf of a leader.
+    pub(super) fn ask_store(&mut self, index: usize) {
+        if self.daemons[index].leader.is_some() || !self.reaches_store(index) {
+            return;
+        }
+        let (_, stored) = self.store.read();
+        self.learn(index, &stored);
+        self.daemons[index].word = Some((stored.term, self.now));
+    }
+
     /// A conditional write; a late one is applied later.
     fn write(&mut self, table: Table, revision: u64) -> Outcome {
         let text = format!("term {} version {} {:?}", table.term, table.version, table.services);
@@ -103,7 +113,7 @@
     }
 
     pub(super) fn lead(&mut self, index: usize) {
-        let reachable = self.store.is_reachable(self.now);
+        let reachable = self.reaches_store(index);
         let entries = self.store.entries();
         let zones_out = self.zones_out.clone();
         let asked = self.now;
@@ -122,6 +132,10 @@
                 self.read_back(index);
             }
         }
+        if !reachable && self.has_to_resign(index) {
+            self.tell(|_| format!("{index} resigns"));
+            self.daemons[index].leader = None;
+        }
         let daemon = &mut self.daemons[index];
         let Some(leader) = &mut daemon.leader else { return };
         let is_in = |zone: &str| !zone.parse::<usize>().is_ok_and(|zone| zones_out[zone]);
@@ -153,6 +167,13 @@
         }
     }
 
+    /// Whether a leader that couldn't read its table resigns.
+    fn has_to_resign(&mut self, index: usize) -> bool {
+        let keeps = self.deviates(Deviation::KeepsLead);
+        let Some(leader) = &mut self.daemons[index].leader else { return false };
+        leader.has_to_read(self.now) && leader.turned_away(self.now) && !keeps
+    }
+
     fn read_back(&mut self, index: usize) {
         let asked = self.now;
         let (revision, stored) = self.store.read();
--- a/crates/ownership/tests/world/mod.rs
+++ b/crates/ownership/tests/world/mod.rs
@@ -53,6 +53,8 @@
     EarlyRelease,
     /// A report of whichever life but the known one begins that life.
     AnyLife,
+    /// A leader keeps the lead while the store answers members and not the leader.
+    KeepsLead,
 }
 
 /// Everything in one schedule.
@@ -65,6 +67,8 @@
     /// Lives of servers so far.
     lives: u64,
     store: Store,
+    /// Until when the store turns each daemon away.
+    turned_away_until: Vec<Time>,
     /// Zone of each daemon that is out.
     zones_out: Vec<bool>,
     queue: BinaryHeap<Reverse<Due>>,
@@ -94,6 +98,7 @@
             leader: None,
             heard: start,
             is_listed: false,
+            word: None,
         };
         let mut world = World {
             now: start,
@@ -101,6 +106,7 @@
             servers: (0..DAEMONS).map(|_| Server::new(life(0, FIRST_BORN), &mut random)).collect(),
             lives: DAEMONS as u64,
             store: Store::default(),
+            turned_away_until: vec![Time::ZERO; DAEMONS],
             zones_out: vec![false; DAEMONS],
             random,
             deviation,
@@ -264,10 +270,29 @@
                     self.store.disturb(self.now + span, &mut self.random);
                 }
             }
-            _ => {}
+            _ => {
+                // One that the store alone turns away, while it answers others late.
+                let leader = self.daemons.iter().position(|d| d.leader.is_some());
+                self.turned_away_until[leader.unwrap_or(index)] = self.now + span;
+                if self.random.bool() {
+                    self.store.disturb(self.now + span, &mut self.random);
+                }
+            }
         }
     }
 
+    fn reaches_store(&self, index: usize) -> bool {
+        self.store.is_reachable(self.now) && self.now >= self.turned_away_until[index]
+    }
+
+    /// From now on the store turns the leader away; the server beside another daemon ends for good.
+    pub fn turn_leader_away(&mut self) {
+        let leader = self.daemons.iter().position(|daemon| daemon.leader.is_some());
+        let leader = leader.unwrap_or_default();
+        self.turned_away_until[leader] = Time::MAX;
+        self.servers[(leader + 1) % DAEMONS].is_alive = false;
+    }
+
     /// The next life of a server; its clock may have been set back.
     fn start_server(&mut self, index: usize) {
         self.lives += 1;
@@ -305,6 +330,7 @@
             leader: None,
             heard: self.now,
             is_listed: false,
+            word: None,
         };
     }
 
@@ -353,6 +379,7 @@
         let heartbeat = Heartbeat {
             sent: self.now,
             term: daemon.table.term,
+            word_age: daemon.word_age(self.now),
             releases: releases.iter().map(|(release, _)| release.clone()).collect(),
             ended: daemon.ended.clone(),
             ..Heartbeat::default()
@@ -411,6 +438,10 @@
                     return;
                 }
                 daemon.heard = self.now;
+                if renewal.wants_word {
+                    self.ask_store(to);
+                }
+                let daemon = &mut self.daemons[to];
                 if let Some(holder) = &mut daemon.holder
                     && !renewal.lease.is_zero()
                 {
--- a/crates/ownership/tests/world/parts.rs
+++ b/crates/ownership/tests/world/parts.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactushold_ownership::{
     Grant, Heartbeat, Holder, HolderId, Leader, Life, Lives, Member, Release, Renewal, Report,
@@ -47,6 +48,15 @@
     pub leader: Option<Leader>,
     pub heard: Time,
     pub is_listed: bool,
+    /// The term that the store last named, and when it was asked.
+    pub word: Option<(u64, Time)>,
+}
+
+impl Daemon {
+    pub fn word_age(&self, now: Time) -> Option<Duration> {
+        let (term, asked) = self.word?;
+        (term == self.table.term).then_some(now - asked)
+    }
 }
 
 pub struct Due {
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -1,5 +1,6 @@
 //! Starts daemons as processes between stand-ins, for tests, the demo and measurements.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -51,6 +52,8 @@
     pub with_relays: bool,
     /// Time from SIGTERM to SIGKILL that each daemon beside a server that reports is told.
     pub grace: Duration,
+    /// Addresses of the platform stand-in that single daemons use, by their names.
+    doors: BTreeMap<String, SocketAddr>,
 }
 
 /// Path of a binary of this workspace, beside the running one.
@@ -92,6 +95,7 @@
             first_settings: String::new(),
             with_relays: false,
             grace: GRACE,
+            doors: BTreeMap::new(),
         }
     }
 
@@ -302,7 +306,10 @@
              admin = \"127.0.0.1:0\"\n{advertise}\
              [platform]\naddress = \"{}\"\n[upstream]\naddress = \"{upstream}\"\n{reports}\
              [log]\nformat = \"json\"\n[limits]\nworkers = {}\n{}",
-            self.first_settings, self.platform, self.workers, self.extra_settings
+            self.first_settings,
+            self.doors.get(name).unwrap_or(&self.platform),
+            self.workers,
+            self.extra_settings
         );
         std::fs::write(&path, text).expect("settings can be written");
         let mut child = Command::new(binary("cactusholdd"))
@@ -404,6 +411,26 @@
         self.http.put_json(self.platform, "/_faults", &faults).await.expect("a stand-in");
     }
 
+    /// Gives a daemon that is started later an address of the platform stand-in of its own.
+    ///
+    /// # Panics
+    /// The stand-in doesn't answer.
+    pub async fn open_door(&mut self, name: &str) {
+        let opened = self.http.send(Method::POST, self.platform, "/_doors", &[], "").await;
+        let opened = opened.expect("a stand-in").json();
+        let address = opened["address"].as_str().and_then(|text| text.parse().ok());
+        self.doors.insert(name.to_owned(), address.expect("an address"));
+    }
+
+    /// Sets faults of the platform stand-in that concern one daemon, which has its own address.
+    ///
+    /// # Panics
+    /// It has none, or the stand-in doesn't answer.
+    pub async fn door_faults(&self, index: usize, faults: Value) {
+        let door = self.doors[&self.daemons[index].name];
+        self.http.put_json(door, "/_door", &faults).await.expect("a stand-in");
+    }
+
     /// Sets faults of an upstream stand-in.
     ///
     /// # Panics
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -26,6 +26,9 @@
 /// Kind of the table of who holds which keys.
 const OWN_KIND: &str = "cactushold";
 
+/// The task that serves an address.
+pub type Serving = tokio::task::JoinHandle<std::io::Result<()>>;
+
 /// Faults that can be switched on.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -45,6 +48,17 @@
     pub forget: bool,
 }
 
+/// Faults of one door: others are served meanwhile.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Door {
+    /// Every call is refused.
+    pub outage: bool,
+    /// Calls get no answer, also not when this is over.
+    pub mute: bool,
+}
+
 /// Calls counted by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -101,6 +115,8 @@
 struct Store {
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
+    /// The address at which calls arrive here.
+    door: Arc<Mutex<Door>>,
 }
 
 #[derive(serde::Deserialize)]
@@ -158,7 +174,23 @@
             reads: Rate::full(READS_PER_S),
             writes: Rate::full(WRITES_PER_S),
         };
-        Store { state: Arc::new(Mutex::new(state)), changed: Arc::new(Notify::new()) }
+        Store {
+            state: Arc::new(Mutex::new(state)),
+            changed: Arc::new(Notify::new()),
+            door: Arc::default(),
+        }
+    }
+
+    fn door(&self) -> Door {
+        *self.door.lock().expect("no holder panics")
+    }
+
+    fn is_out(&self) -> bool {
+        self.door().outage || self.with(|state| state.faults.outage)
+    }
+
+    fn is_mute(&self) -> bool {
+        self.door().mute || self.with(|state| state.faults.mute)
     }
 
     fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
@@ -167,6 +199,7 @@
 
     /// Counts a call, applies rate and faults.
     async fn admit(&self, is_write: bool) -> Option<Response> {
+        let is_out = self.is_out();
         let (refused, pause) = self.with(|state| {
             let allowed = if is_write {
                 state.calls.writes += 1;
@@ -176,7 +209,7 @@
                 state.reads.take(READS_PER_S)
             };
             state.calls.limited += u64::from(!allowed);
-            let refused = match (state.faults.outage, allowed) {
+            let refused = match (is_out, allowed) {
                 (true, _) => Some(StatusCode::SERVICE_UNAVAILABLE),
                 (false, false) => Some(StatusCode::TOO_MANY_REQUESTS),
                 (false, true) => None,
@@ -184,7 +217,7 @@
             (refused, Duration::from_millis(state.faults.slow_ms))
         });
         tokio::time::sleep(pause).await;
-        if self.with(|state| state.faults.mute) {
+        if self.is_mute() {
             std::future::pending::<()>().await;
         }
         refused.map(|status| status.into_response())
@@ -367,13 +400,13 @@
     tokio::pin!(deadline);
     loop {
         let changed = store.changed.notified();
-        if store.with(|state| state.faults.outage) {
+        if store.is_out() {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
         let Some((events, revision)) = store.events(&kind, after) else {
             return StatusCode::GONE.into_response();
         };
-        if store.with(|state| state.faults.mute) {
+        if store.is_mute() {
             std::future::pending::<()>().await;
         }
         let is_empty = events.is_empty();
@@ -401,6 +434,22 @@
     StatusCode::OK
 }
 
+#[handler]
+async fn set_door(Json(door): Json<Door>, store: Data<&Store>) -> StatusCode {
+    *store.door.lock().expect("no holder panics") = door;
+    store.changed.notify_waiters();
+    StatusCode::OK
+}
+
+#[handler]
+async fn open_door(store: Data<&Store>) -> Response {
+    let another = Store { door: Arc::default(), ..store.clone() };
+    match listen(([127, 0, 0, 1], 0).into(), another).await {
+        Ok((address, _)) => Json(json!({ "address": address })).into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
 #[handler]
 async fn calls(store: Data<&Store>) -> Json<Calls> {
     Json(store.with(|state| state.calls))
@@ -410,9 +459,11 @@
 ///
 /// # Errors
 /// The address can't be bound.
-pub async fn start(
-    address: SocketAddr,
-) -> std::io::Result<(SocketAddr, tokio::task::JoinHandle<std::io::Result<()>>)> {
+pub async fn start(address: SocketAddr) -> std::io::Result<(SocketAddr, Serving)> {
+    listen(address, Store::new()).await
+}
+
+async fn listen(address: SocketAddr, store: Store) -> std::io::Result<(SocketAddr, Serving)> {
     let acceptor = TcpListener::bind(address).into_acceptor().await?;
     let local = acceptor.local_addr().first().and_then(|addr| addr.as_socket_addr().copied());
     let local = local.ok_or_else(|| std::io::Error::other("no local address"))?;
@@ -421,6 +472,8 @@
         .at("/v1/objects/:kind/:name", get(read).put(replace).delete(remove))
         .at("/_faults", poem::put(set_faults))
         .at("/_calls", get(calls))
-        .data(Store::new());
+        .at("/_door", poem::put(set_door))
+        .at("/_doors", poem::post(open_door))
+        .data(store);
     Ok((local, tokio::spawn(Server::new_with_acceptor(acceptor).run(app))))
 }
