Keep a given-up request's slot until its upstream has ended it

What callers saw: an upstream without reports that was cold got a second request while it bore one, collapsed, and refused everything for a second (503 shed). Others ran up to twice their slots.

Cause: a request that was given up (a hedge answered elsewhere, a caller who left, a deadline) dropped its connection and gave its slot back in the same step. The gate admitted the next request at once; the upstream still ran the first one, or had not even read it.

Ruled out: the ramp's estimate (in the failures looked at, the collapsed upstream had had 2 to 4 runs and a peak of 1: the limit was 1, and grows after ten answers only); three ingresses at once (each request passed the one guard of its upstream, which had one slot out at a time); the stand-in's count (it counts a run as ended before it answers, and the trace shows the run under way). Told slots are affected.

Change: the slot belongs to the connection on which the request is open. If that is dropped before the answer's end, the daemon closes its half and reads on: the slot is given back when the upstream closes the other half, at once if it takes notice, otherwise after its answer; at the latest at the deadline, or 100 ms after the request was given up at it. An upstream that writes on for more than 64 KiB is told by a closed connection, and has 100 ms.

Cost: an upstream that takes notice keeps the slot for a way there and back. One that doesn't is at work for that time, and its slot was never free. A frozen one keeps it to the deadline, as for a caller who stays.

Left: a slice is still released while a request in it that was given up may be at work; an upstream that closes a connection before its work has ended can still get a request too many.

--- a/crates/admission/tests/gate.rs
+++ b/crates/admission/tests/gate.rs
@@ -185,3 +185,18 @@
     assert!(matches!(gate.arrive(visit, now), Arrival::Queued(..)));
     assert!(matches!(gate.arrive(visit, now), Arrival::Refused(_)));
 }
+
+#[test]
+fn a_request_that_is_given_up_gives_nothing_of_a_cold_rate_back() {
+    let (mut gate, now) = (Gate::told(4, 10), Duration::from_secs(1));
+    gate.set_cold_rate(Some(1.0));
+    gate.cool(now, now + Duration::from_secs(60));
+    let later = now + Duration::from_secs(1);
+    let deadline = now + Duration::from_secs(30);
+    let visit = Visit { workspace: "a", rank: 0, goal: deadline, deadline, work: Duration::ZERO };
+    assert_eq!(gate.arrive(visit, later), Arrival::Admitted);
+    gate.end(Signal::Neutral);
+    assert!(matches!(gate.arrive(visit, later), Arrival::Queued(..)));
+    assert_eq!(gate.next(later, |_| 1), None);
+    assert!(gate.next(later + Duration::from_secs(1), |_| 1).is_some());
+}
--- a/crates/daemon/src/guard/permit.rs
+++ b/crates/daemon/src/guard/permit.rs
@@ -16,7 +16,9 @@
 pub struct Permit {
     shared: Arc<Shared>,
     started: Time,
+    deadline: Time,
     signal: Cell<Signal>,
+    is_given_up: Cell<bool>,
 }
 
 /// Counts a request in a slice for as long as it lives.
@@ -49,8 +51,22 @@
                 None => return Err(Refusal::new(Kind::Expired)),
             }
         }
+        let (started, deadline) = (clock::now(), request.deadline);
         let signal = Cell::new(Signal::Neutral);
-        Ok(Permit { shared: Arc::clone(shared), started: clock::now(), signal })
+        let is_given_up = Cell::new(false);
+        Ok(Permit { shared: Arc::clone(shared), started, deadline, signal, is_given_up })
+    }
+
+    /// Deadline of the request that holds the slot.
+    pub fn deadline(&self) -> Time {
+        self.deadline
+    }
+
+    /// Notes that nobody waits for the answer any more: a stop doesn't wait for it either.
+    pub fn give_up(&self) {
+        if !self.is_given_up.replace(true) {
+            self.shared.guard().give_up();
+        }
     }
 
     /// Notes how the upstream answered.
@@ -69,7 +85,11 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let view = self.shared.view();
-        self.shared.guard().leave(self.signal.get(), &view.config, clock::now());
+        let mut guard = self.shared.guard();
+        if self.is_given_up.get() {
+            guard.end_given_up();
+        }
+        guard.leave(self.signal.get(), &view.config, clock::now());
     }
 }
 
--- a/crates/daemon/src/guard/table.rs
+++ b/crates/daemon/src/guard/table.rs
@@ -42,6 +42,8 @@
     gate: Gate,
     calls: HashMap<Ticket, oneshot::Sender<Result<(), Refusal>>>,
     running: HashMap<SliceId, u32>,
+    /// Requests that hold a slot though nobody waits for their answer.
+    given_up: u32,
     /// Answers by `Idempotency-Key`.
     pub records: Records<Recorded>,
     estimates: Estimates,
@@ -70,6 +72,7 @@
             gate,
             calls: HashMap::new(),
             running: HashMap::new(),
+            given_up: 0,
             records: Records::new(KEEP_ANSWERS, MAX_ANSWERS),
             estimates: Estimates::default(),
             sampler: Sampler::default(),
@@ -180,6 +183,16 @@
         self.call_next(config, now);
     }
 
+    /// A request was given up; it holds its slot until the upstream has ended it.
+    pub fn give_up(&mut self) {
+        self.given_up += 1;
+    }
+
+    /// The upstream has ended a request that was given up.
+    pub fn end_given_up(&mut self) {
+        self.given_up -= 1;
+    }
+
     /// Lets waiting requests run as far as there are slots.
     pub fn call_next(&mut self, config: &Config, now: Time) {
         let load = self.gate.load(now);
@@ -225,10 +238,11 @@
         self.running.get(&slice).copied().unwrap_or(0)
     }
 
-    /// All work that runs or waits.
+    /// All work that runs or waits, for somebody.
     pub fn busy(&self) -> usize {
         let load = self.gate.load(Time::ZERO);
-        load.running as usize + load.waiting
+        let running = load.running.saturating_sub(self.given_up);
+        running as usize + load.waiting
     }
 }
 
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -42,14 +42,13 @@
 /// A part of a body; nothing at its end.
 type Piece = Result<Option<Bytes>, Refusal>;
 
-/// A body that is read, with the connection that it comes on and the slot it occupies.
+/// A body that is read, with the connection that it comes on, which holds the request's slot.
 struct Source {
     body: Incoming,
     deadline: Time,
     connection: Option<Connection>,
     pool: Rc<Pool>,
     is_reusable: bool,
-    _permit: Permit,
 }
 
 impl Stream {
@@ -111,8 +110,10 @@
     }
 
     fn end(&mut self) {
-        if let Some(connection) = self.connection.take().filter(|_| self.is_reusable) {
-            self.pool.give_back(connection);
+        let Some(mut connection) = self.connection.take() else { return };
+        match self.is_reusable {
+            true => self.pool.give_back(connection),
+            false => connection.finish(),
         }
     }
 }
@@ -156,20 +157,23 @@
             Dialect::Ordered => self.ordered(request, fence, expires)?,
             Dialect::Reporting => reporting(request, server, expires)?,
         };
-        let response = self.exchange(outgoing, request).await;
+        let permit = Rc::new(permit);
+        let response = self.exchange(outgoing, request, &permit).await;
         permit.note(&response);
+        drop(permit);
         let (response, connection) = response?;
-        self.collect(response, connection, request.deadline, permit).await
+        self.collect(response, connection, request.deadline).await
     }
 
     async fn exchange(
         &self,
         outgoing: hyper::Request<Full<Bytes>>,
         request: &Request,
+        permit: &Rc<Permit>,
     ) -> Result<(hyper::Response<Incoming>, Connection), Refusal> {
         let deadline = clock::instant(request.deadline);
         let identity = self.identity(request);
-        let sending = self.pool.send(outgoing, identity);
+        let sending = self.pool.send(outgoing, identity, permit);
         let sending = tokio::time::timeout_at(deadline, sending).await;
         let (response, mut connection) = match sending {
             Ok(Ok(answered)) => answered,
@@ -193,6 +197,7 @@
         match check {
             // An answer that declares that the request did not run leaves the connection good.
             Err(refusal) if refusal.kind.ran() == cactushold_attempt::Ran::No => {
+                connection.finish();
                 if connection.note_refusal(identity) {
                     self.finish_declined(response, connection).await;
                 }
@@ -283,7 +288,7 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
-        let sending = tokio::time::timeout(GRANT, self.pool.send_alone(request)).await;
+        let sending = tokio::time::timeout(GRANT, self.pool.send_alone(request, None)).await;
         let sent = sending.map_err(|_| {
             self.renew_connections();
             "no answer".to_owned()
@@ -300,7 +305,6 @@
         response: hyper::Response<Incoming>,
         mut connection: Connection,
         deadline: Time,
-        permit: Permit,
     ) -> Result<Reply, Refusal> {
         let is_reusable = connection.note(response.headers());
         let status = response.status().as_u16();
@@ -316,7 +320,6 @@
             connection: Some(connection),
             pool: Rc::clone(&self.pool),
             is_reusable,
-            _permit: permit,
         };
         let mut first = Vec::new();
         while first.len() < INLINE_BYTES {
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -14,10 +14,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::guard::Permit;
 
 /// Time in which a connection has to come about.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -32,17 +34,30 @@
 const MAX_HEAD: usize = 64 << 10;
 /// Refusals on a connection after which it isn't reused: it has to remember each of them.
 const MAX_REFUSALS: usize = 256;
+/// Time in which an upstream notices that a connection was closed; below the half second after
+/// which work for a caller who left counts against it.
+const NOTICE: Duration = Duration::from_millis(100);
+/// Bytes of an answer that are read though nobody wants it; an upstream that writes more is told
+/// by a closed connection.
+const MAX_UNWANTED: u64 = 64 << 10;
 
 /// Tells the attempts of one request from those of others.
 pub type Identity = u64;
 
 type Sender = SendRequest<Full<Bytes>>;
 
-/// A connection; it is closed at once when this is dropped.
+/// A socket that speaks HTTP.
+type Wire = http1::Connection<TokioIo<Socket>, Full<Bytes>>;
+
+/// A connection. When this is dropped it is closed: at once, or, with a request open on it, so
+/// that the slot is given back only once the upstream has ended.
 pub struct Connection {
     sender: Sender,
     interim: Interim,
-    task: AbortHandle,
+    /// Takes the slot of a request that is given up.
+    given_up: Option<oneshot::Sender<Rc<Permit>>>,
+    /// The slot of the request that is open.
+    permit: Option<Rc<Permit>>,
     idle: Duration,
     /// Requests that were refused unrun. The upstream may write such a refusal again, which would
     /// look like the answer to the request's next attempt.
@@ -53,7 +68,10 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.task.abort();
+        if let (Some(given_up), Some(permit)) = (self.given_up.take(), self.permit.take()) {
+            // Nobody takes it once the connection has ended: neither is the upstream at work then.
+            given_up.send(permit).ok();
+        }
     }
 }
 
@@ -91,9 +109,10 @@
         &self,
         mut request: Request<Full<Bytes>>,
         identity: Identity,
+        permit: &Rc<Permit>,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         while let Some(mut connection) = self.take_idle(identity).await {
-            match connection.send(request).await {
+            match connection.send(request, Some(permit)).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
                     // It didn't leave: the connection had been closed.
@@ -102,7 +121,7 @@
                 },
             }
         }
-        self.send_alone(request).await
+        self.send_alone(request, Some(permit)).await
     }
 
     /// Sends a request over a connection of its own: no answer to an earlier one can come there.
@@ -112,9 +131,10 @@
     pub async fn send_alone(
         &self,
         request: Request<Full<Bytes>>,
+        permit: Option<&Rc<Permit>>,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         let mut connection = self.dial().await?;
-        match connection.send(request).await {
+        match connection.send(request, permit).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Failure::NotSent(error.into_error().to_string())),
@@ -155,15 +175,22 @@
         let handshake = http1::Builder::new().max_buf_size(MAX_HEAD).handshake(socket).await;
         let (sender, connection) =
             handshake.map_err(|error| Failure::NotSent(error.to_string()))?;
-        // How a connection ends is seen by whoever waits for an answer on it.
-        let task = tokio::task::spawn_local(async move { connection.await.ok() });
-        let task = task.abort_handle();
-        let (refused, has_named) = (Vec::new(), false);
-        Ok(Connection { sender, interim, task, idle: IDLE, refused, has_named })
+        let (given_up, left) = oneshot::channel();
+        tokio::task::spawn_local(carry(connection, left));
+        Ok(Connection {
+            sender,
+            interim,
+            given_up: Some(given_up),
+            permit: None,
+            idle: IDLE,
+            refused: Vec::new(),
+            has_named: false,
+        })
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub fn give_back(&self, connection: Connection) {
+    pub fn give_back(&self, mut connection: Connection) {
+        connection.finish();
         let until = clock::now() + connection.idle;
         let mut idle = self.idle.borrow_mut();
         idle.retain(|other| clock::now() < other.until);
@@ -176,17 +203,54 @@
     }
 }
 
+/// Moves the bytes of a connection until it ends or is dropped.
+async fn carry(mut wire: Wire, left: oneshot::Receiver<Rc<Permit>>) {
+    let left = tokio::select! {
+        // First: a request that is given up would end the connection, too.
+        biased;
+        left = left => left,
+        // How a connection ends is seen by whoever waits for an answer on it.
+        _ = &mut wire => return,
+    };
+    if let Ok(permit) = left {
+        close(wire.into_parts().io.into_inner(), &permit).await;
+    }
+}
+
+/// Closes a connection on which a request was given up. The upstream is at work on it until it
+/// closes its side: at once if it takes notice, otherwise after its answer.
+async fn close(mut socket: Socket, permit: &Permit) {
+    permit.give_up();
+    let until = permit.deadline().max(clock::now() + NOTICE);
+    socket.shutdown().await.ok();
+    let (mut rest, mut nowhere) = (socket.take(MAX_UNWANTED), tokio::io::sink());
+    let reading = tokio::io::copy(&mut rest, &mut nowhere);
+    let is_read = tokio::time::timeout_at(clock::instant(until), reading).await.is_ok();
+    let goes_on = is_read && rest.limit() == 0;
+    drop(rest);
+    if goes_on {
+        tokio::time::sleep(NOTICE).await;
+    }
+}
+
 impl Connection {
     async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
+        permit: Option<&Rc<Permit>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.permit = permit.cloned();
         self.interim.restart();
         let interim = self.interim.clone();
         hyper::ext::on_informational(&mut request, move |_| interim.note());
         self.sender.try_send_request(request).await
     }
 
+    /// Notes that the upstream is no longer at work on the request that was open.
+    pub fn finish(&mut self) {
+        self.permit = None;
+    }
+
     /// Notes whether an answer names the attempt that it belongs to; whether one like it may come
     /// here.
     pub fn note_name(&mut self, is_named: bool) -> bool {
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod clocks;
 mod configuration;
 mod cut_answers;
+mod departures;
 mod endless;
 mod kept_connections;
 mod grace;
--- a/crates/daemon/tests/system/main.rs
+++ b/crates/daemon/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod cases;
 mod configuration;
+mod departures;
 mod kept_connections;
 mod once;
 mod network;
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -15,6 +15,9 @@
 pub enum Action {
     /// The target answers it.
     Pass,
+    /// The target answers it. Until then, whether the caller has left isn't looked at, as in a
+    /// server with a thread for each connection.
+    Finish,
     /// The target answers it; these bytes are written before.
     Precede(Vec<u8>),
     /// These bytes are written; the target sees nothing.
@@ -86,6 +89,11 @@
                 }
                 match choose(&String::from_utf8_lossy(bytes)) {
                     Action::Pass => onward.write_all(bytes).await?,
+                    Action::Finish => {
+                        onward.write_all(bytes).await?;
+                        let size = onward.read(&mut answer).await?;
+                        stream.write_all(&answer[..size]).await?;
+                    }
                     Action::Precede(written) => {
                         onward.write_all(bytes).await?;
                         stream.write_all(&written).await?;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -20,7 +20,7 @@
 /// Time between two reports while something has to be given up.
 const DRAIN_REPORT: Duration = Duration::from_millis(20);
 /// Requests run at a time.
-const SLOTS: usize = 8;
+pub const SLOTS: usize = 8;
 
 /// Key positions held under a fence.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,6 +73,8 @@
     past: Vec<Held>,
     freed: Vec<(u16, u16, String)>,
     running: usize,
+    /// Most requests that ran at a time.
+    peak: usize,
     /// Requests that arrived, refused ones included.
     arrivals: usize,
     /// Whether every request is refused unrun.
@@ -136,6 +138,7 @@
             past: Vec::new(),
             freed: Vec::new(),
             running: 0,
+            peak: 0,
             arrivals: 0,
             sheds: false,
             run,
@@ -207,6 +210,11 @@
         self.shared.with(|state| state.running)
     }
 
+    /// Most requests that ran at a time so far.
+    pub fn peak(&self) -> usize {
+        self.shared.with(|state| state.peak)
+    }
+
     /// Requests that arrived so far, refused ones included.
     pub fn arrivals(&self) -> usize {
         self.shared.with(|state| state.arrivals)
@@ -349,6 +357,7 @@
             return Some(StatusCode::SERVICE_UNAVAILABLE);
         }
         state.running += 1;
+        state.peak = state.peak.max(state.running);
         state.runs.push(Run {
             attempt: attempt.clone(),
             workspace: text("tenant"),
