--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod cut_answers;
 mod cuts;
+mod departures;
 mod endless;
 mod kept_connections;
 mod grace;
