Send what may not be repeated over fresh connections to the upstream only

What callers saw: a request that may not be repeated, sent over a kept connection that the upstream had forgotten while it was idle, was answered 502 broken if the upstream resets what comes there, or 504 timed-out if the connection had gone silent; both "ran": "unknown", so the caller has to check.

Cause: an idle connection was reused for three quarters of the idle time that the upstream tells, or for 4 s. Upstreams may drop it sooner, without notice.

Change: such a request goes over a connection that was idle for less than 1 s, else over a new one. The connection that was idle longest is closed for it, so that the upstream has no more of them than before. Requests that may be repeated reuse connections as before.

Ruled out: repeating the request after a reset (it may have run); a probe of the connection (an upstream serves one request at a time, and a probe waits for a slot like any other); closing each connection after 1 s for all requests (more new connections, which have a price).

What it costs: a new connection for such a request at an upstream that had no request for 1 s, or when more run at a time than in the second before.

What remains: an upstream that forgets a connection within 1 s.

--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -169,7 +169,7 @@
     ) -> Result<(hyper::Response<Incoming>, Connection), Refusal> {
         let deadline = clock::instant(request.deadline);
         let identity = self.identity(request);
-        let sending = self.pool.send(outgoing, identity);
+        let sending = self.pool.send(outgoing, identity, request.idempotent);
         let sending = tokio::time::timeout_at(deadline, sending).await;
         let (response, mut connection) = match sending {
             Ok(Ok(answered)) => answered,
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -26,6 +26,9 @@
 /// Part of the idle time told by the upstream for which a connection is reused, so that a request
 /// doesn't cross its end.
 const PART_OF_IDLE: f64 = 0.75;
+/// A request that may not be repeated goes over connections that were idle for less: the shortest
+/// time that an upstream can tell. Some drop idle connections sooner than told, without notice.
+const FRESH: Duration = Duration::from_secs(1);
 /// Time in which a reused connection has to be ready for its next request.
 const READY: Duration = Duration::from_millis(5);
 /// Largest head of an answer, and most that is read at a time, in bytes.
@@ -59,6 +62,7 @@
 
 struct Idle {
     connection: Connection,
+    since: Time,
     until: Time,
 }
 
@@ -82,8 +86,9 @@
         Rc::new(Pool { address, idle: RefCell::default() })
     }
 
-    /// Sends a request over a new connection or an idle one on which it wasn't refused before. The
-    /// connection lives as long as the returned value.
+    /// Sends a request over a new connection or an idle one on which it wasn't refused before; one
+    /// that may not be repeated only if that was idle for a short time. The connection lives as long
+    /// as the returned value.
     ///
     /// # Errors
     /// No answer came; tells whether the request was sent.
@@ -91,8 +96,9 @@
         &self,
         mut request: Request<Full<Bytes>>,
         identity: Identity,
+        is_repeatable: bool,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
-        while let Some(mut connection) = self.take_idle(identity).await {
+        while let Some(mut connection) = self.take_idle(identity, is_repeatable).await {
             match connection.send(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -123,15 +129,20 @@
         }
     }
 
-    async fn take_idle(&self, identity: Identity) -> Option<Connection> {
+    async fn take_idle(&self, identity: Identity, is_repeatable: bool) -> Option<Connection> {
         loop {
-            let Idle { mut connection, until } = self.newest_idle(identity)?;
-            if clock::now() >= until || connection.sender.is_closed() {
+            let mut newest = self.newest_idle(identity)?;
+            let now = clock::now();
+            if now >= newest.until || newest.connection.sender.is_closed() {
                 continue;
             }
-            let ready = tokio::time::timeout(READY, connection.sender.ready()).await;
+            if !is_repeatable && now >= newest.since + FRESH {
+                self.make_room(newest);
+                return None;
+            }
+            let ready = tokio::time::timeout(READY, newest.connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Some(connection);
+                return Some(newest.connection);
             }
         }
     }
@@ -142,6 +153,15 @@
         Some(idle.remove(at))
     }
 
+    /// Closes the connection that was idle longest, so that a new one makes them no more; keeps
+    /// `newest` unless it is that one.
+    fn make_room(&self, newest: Idle) {
+        let mut idle = self.idle.borrow_mut();
+        let at = idle.partition_point(|other| other.since <= newest.since);
+        idle.insert(at, newest);
+        idle.remove(0);
+    }
+
     async fn dial(&self) -> Result<Connection, Failure> {
         let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(self.address)).await;
         let stream = match connecting {
@@ -164,10 +184,11 @@
 
     /// Keeps a connection whose answer was read to its end.
     pub fn give_back(&self, connection: Connection) {
-        let until = clock::now() + connection.idle;
+        let since = clock::now();
+        let until = since + connection.idle;
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|other| clock::now() < other.until);
-        idle.push(Idle { connection, until });
+        idle.retain(|other| since < other.until);
+        idle.push(Idle { connection, since, until });
     }
 
     /// Drops idle connections: others may have gone silent like the one that failed.
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod kept_connections;
 mod grace;
+mod idle_servers;
 mod loads;
 mod logs;
 mod ownership;
