--- a/crates/daemon/src/peer/heard.rs
+++ b/crates/daemon/src/peer/heard.rs
@@ -14,18 +14,28 @@
 use crate::clock;
 
 /// What arrives over a connection, of whichever call: each byte is a sign of life.
-#[derive(Default)]
 pub struct Heard {
+    since: Time,
     at: Cell<Time>,
     news: Notify,
 }
 
 impl Heard {
-    /// When something arrived last.
+    /// Counts from when the connection came about.
+    pub fn new(now: Time) -> Heard {
+        Heard { since: now, at: Cell::new(now), news: Notify::new() }
+    }
+
+    /// When something arrived last, or the connection came about.
     pub fn at(&self) -> Time {
         self.at.get()
     }
 
+    /// When something arrived last, if anything ever did.
+    pub fn last(&self) -> Option<Time> {
+        Some(self.at.get()).filter(|at| *at > self.since)
+    }
+
     /// Resolves when something arrives after it was first polled.
     pub async fn news(&self) {
         self.news.notified().await;
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod endless;
 mod kept_connections;
 mod grace;
+mod idle_servers;
 mod loads;
 mod logs;
 mod ownership;
