--- a/crates/daemon/src/ingress/send.rs
+++ b/crates/daemon/src/ingress/send.rs
@@ -172,7 +172,7 @@
         results = &mut results => Some(results),
         () = link.suspect() => {
             doubt.raise();
-            step.is_suspect();
+            step.note_suspect();
             tokio::select! {
                 results = &mut results => Some(results),
                 () = link.lost() => None,
--- a/crates/daemon/src/ingress/trace.rs
+++ b/crates/daemon/src/ingress/trace.rs
@@ -274,7 +274,7 @@
     }
 
     /// Nothing is heard any more over its connection.
-    pub fn is_suspect(&self) {
+    pub fn note_suspect(&self) {
         self.with(|one| one.is_suspect = true);
     }
 
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -1,7 +1,7 @@
 //! Tables shared by all workers.
 //!
-//! Lock order: `setup`, `view`, `guard`, `quota`, `scores`, `forecasts`, `hints`, `request_lines`. No thread holds two
-//! of them at a time today, and none is held across an await.
+//! Lock order: `setup`, `view`, `guard`, `quota`, `scores`, `forecasts`, `hints`, `request_lines`. No
+//! thread holds two of them at a time today, and none is held across an await.
 
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
