--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -96,7 +96,7 @@
 }
 
 /// A workspace: its keys and its limits, which apply to all instances combined.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -39,22 +39,23 @@
     pub timeout: Duration,
     /// Maximum number of servers that one request is sent to.
     pub max_attempts: u32,
-    /// Services that handle its requests.
+    /// Services that handle its requests. Without any, all of them are refused.
     pub backends: Vec<Backend>,
 }
 
 impl Route {
-    /// Picks a service by weight, given a random number in `0.0..1.0`.
-    pub fn pick_backend(&self, random: f64) -> &str {
-        let total: u32 = self.backends.iter().map(|backend| backend.weight).sum();
-        let mut remaining = random * f64::from(total);
+    /// Picks a service by weight, given a random number in `0.0..1.0`. Returns `None` if the route
+    /// has no backend.
+    pub fn pick_backend(&self, random: f64) -> Option<&str> {
+        let total: f64 = self.backends.iter().map(|backend| f64::from(backend.weight)).sum();
+        let mut remaining = random * total;
         for backend in &self.backends {
             remaining -= f64::from(backend.weight);
             if remaining < 0.0 {
-                return &backend.service;
+                return Some(&backend.service);
             }
         }
-        self.backends.last().map_or("", |backend| &backend.service)
+        self.backends.last().map(|backend| backend.service.as_str())
     }
 }
 
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -1,5 +1,6 @@
 //! The `status` command and the list of upstreams.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::cli::Options;
@@ -25,6 +26,9 @@
     running: u64,
     waiting: u64,
     limit: u64,
+    /// Parts of the store's objects that the daemon can't read.
+    #[serde(default)]
+    unreadable: Vec<String>,
     members: Vec<Member>,
 }
 
@@ -97,9 +101,24 @@
         ]));
     }
     print(&table(&rows));
+    for line in unreadable(&members) {
+        print(&line);
+    }
     Ok(())
 }
 
+/// What daemons can't read of the store's objects, with the number of daemons.
+fn unreadable(members: &[MemberStatus]) -> Vec<String> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for status in members.iter().filter_map(|member| member.status.as_ref()) {
+        for part in &status.unreadable {
+            *counts.entry(part).or_default() += 1;
+        }
+    }
+    let lines = counts.iter().map(|(part, count)| format!("unreadable at {count}: {part}\n"));
+    lines.collect()
+}
+
 fn state(status: Option<&Status>) -> &'static str {
     match status {
         None => "no answer",
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -51,6 +51,8 @@
     pub waiting: usize,
     /// Concurrency limit of the upstream, in requests.
     pub limit: u32,
+    /// Parts of the store's objects that the daemon can't read, each with the reason.
+    pub unreadable: Vec<String>,
     /// Members listed in the slice table.
     pub members: Vec<Member>,
 }
@@ -99,6 +101,7 @@
         running: load.running,
         waiting: load.waiting,
         limit: load.limit,
+        unreadable: (*view.unreadable).clone(),
         members: members(&view.table),
     })
 }
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -43,7 +43,8 @@
     Waiting = 104, "waiting";
     /// This incarnation was dropped by the table or can't renew its lease; a new one is registered.
     Removed = 105, "removed";
-    /// Something that was read can't be understood; what was known before holds.
+    /// Something that was read can't be understood. What was known before holds, or, of a
+    /// configuration, everything else that it says.
     Unreadable = 106, "unreadable";
     /// A connection couldn't be accepted.
     NotAccepted = 107, "not-accepted";
--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -110,6 +110,9 @@
         self.shared.scores().retain(|id, _| table.members.contains_key(id));
         self.shared.forecasts().retain(|id, _| table.members.contains_key(id));
         self.step_down_if_replaced();
+        if self.id() == 0 {
+            self.entry_changed.notify_one();
+        }
         self.publish(now);
         self.heartbeat_due.notify_one();
     }
--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -107,9 +107,14 @@
             return Ok(());
         }
         let requested_at = clock::now();
-        let Some(object) = self.platform.get(TABLE).await? else { return Ok(()) };
+        let found = self.platform.get(TABLE).await?;
         self.record_contact(requested_at);
-        if self.apply_table_object(&object) && !is_own {
+        let Some((object, table)) = self.read_table_object(found) else {
+            return self.rebuild_table().await;
+        };
+        let is_newer_term = table.term > self.table.borrow().term;
+        self.apply_table(table);
+        if is_newer_term && !is_own {
             return Ok(());
         }
         self.claim_leadership(&object).await
@@ -118,36 +123,62 @@
     /// Reads the table for the first time, or stores the first table if there is none.
     async fn bootstrap(self: &Rc<Self>) -> Result<(), Error> {
         let requested_at = clock::now();
-        match self.platform.get(TABLE).await? {
-            Some(object) => {
-                self.apply_table_object(&object);
-                self.term_confirmation.set(Some((self.table.borrow().term, requested_at)));
-                Ok(())
-            }
-            None => {
-                tokio::time::sleep(self.election_delay()).await;
-                self.store_claim(Table::default(), Precondition::Absent).await
-            }
+        let found = self.platform.get(TABLE).await?;
+        if found.is_none() {
+            tokio::time::sleep(self.election_delay()).await;
+            return self.store_claim(Table::default(), Precondition::Absent).await;
         }
+        let Some((_, table)) = self.read_table_object(found) else {
+            return self.rebuild_table().await;
+        };
+        self.apply_table(table);
+        self.term_confirmation.set(Some((self.table.borrow().term, requested_at)));
+        Ok(())
     }
 
-    /// Applies the table in an object that was read. Returns whether its term is newer than the one
-    /// known before.
-    fn apply_table_object(self: &Rc<Self>, object: &Object) -> bool {
-        let term = self.table.borrow().term;
-        match serde_json::from_str::<Table>(&object.value) {
+    /// Reads the table from its object. `None` if another writer removed the object, or replaced it
+    /// by something that can't be read.
+    pub(super) fn read_table_object(&self, found: Option<Object>) -> Option<(Object, Table)> {
+        let Some(object) = found else {
+            self.note_unreadable("table", vec!["removed".to_owned()]);
+            return None;
+        };
+        let table = serde_json::from_str::<Table>(&object.value).map_err(|error| error.to_string());
+        match table.and_then(|table| table.check(object.revision).map(|()| table)) {
             Ok(table) => {
-                let is_newer_term = table.term > term;
-                self.apply_table(table);
-                is_newer_term
+                self.note_unreadable("table", Vec::new());
+                Some((object, table))
             }
-            Err(error) => {
-                log!(warn, Event::Unreadable, what = "table", reason = %error);
-                false
+            Err(reason) => {
+                self.note_unreadable("table", vec![reason]);
+                None
             }
         }
     }
 
+    /// Tries to become the leader with a table that names no holder, because the stored one can't be
+    /// read.
+    pub(super) async fn rebuild_table(self: &Rc<Self>) -> Result<(), Error> {
+        if self.leader.borrow_mut().take().is_some() {
+            log!(info, Event::NotLeading, term = self.table.borrow().term);
+        }
+        tokio::time::sleep(self.election_delay()).await;
+        let listing = self.platform.list(TABLE.kind).await?;
+        let found = listing.objects.into_iter().find(|object| object.name == TABLE.name);
+        let (floor, expected) = match &found {
+            Some(object) => (object.revision, Precondition::At(object.revision)),
+            None => (listing.revision, Precondition::Absent),
+        };
+        // Another daemon may have stored one meanwhile.
+        if let Some(object) = found
+            && let Some((_, table)) = self.read_table_object(Some(object))
+        {
+            self.apply_table(table);
+            return Ok(());
+        }
+        self.store_claim(Table::rebuilt(floor), expected).await
+    }
+
     /// Whether the leader is taken for lost: neither this daemon nor a peer has heard it recently.
     /// If fewer than half of the polled peers answer, this takes until [`ISOLATION_TIMEOUT`].
     async fn is_leader_lost(self: &Rc<Self>) -> bool {
@@ -228,8 +259,8 @@
                 let now = clock::now();
                 log!(info, Event::Leading, term = next.term);
                 let interval = self.shared.bounds().report_interval;
-                *self.leader.borrow_mut() =
-                    Some(Leader::new(requested_at, revision, interval, now));
+                let leader = Leader::new(requested_at, revision, interval, now);
+                *self.leader.borrow_mut() = Some(leader);
                 self.apply_table(next);
                 self.tasks.spawn_finite("entries", Rc::clone(self).watch_entries());
                 self.announce_versions();
@@ -237,8 +268,9 @@
                 Ok(())
             }
             PutOutcome::Conflict => {
-                if let Some(object) = self.platform.get(TABLE).await? {
-                    self.apply_table_object(&object);
+                let found = self.platform.get(TABLE).await?;
+                if let Some((_, table)) = self.read_table_object(found) {
+                    self.apply_table(table);
                 }
                 Ok(())
             }
@@ -283,13 +315,16 @@
         // keeps other tasks of this daemon from sending the same request.
         let previous = self.term_confirmation.replace(Some((0, now)));
         match self.platform.get(TABLE).await {
-            Ok(Some(object)) => {
-                self.apply_table_object(&object);
+            Ok(found) => {
+                let Some((_, table)) = self.read_table_object(found) else {
+                    self.term_confirmation.set(previous);
+                    return;
+                };
+                self.apply_table(table);
                 self.term_confirmation.set(Some((self.table.borrow().term, now)));
                 self.record_contact(now);
                 self.heartbeat_due.notify_one();
             }
-            Ok(None) => self.term_confirmation.set(previous),
             Err(error) => {
                 log!(info, Event::PlatformUnavailable, what = "table", reason = %error);
                 self.term_confirmation.set(previous);
--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Holder, HolderId, Incarnation, Member, Time};
+use cactushold_ownership::{Holder, HolderId, Incarnation, LEASE, MAX_CLOCK_DRIFT, Member, Time};
 use cactushold_platform::{Backoff, Error, Key, Object, Precondition, PutOutcome};
 
 use crate::event::Event;
@@ -43,11 +43,27 @@
 }
 
 impl Entry {
-    /// Parses a stored object and returns the identity with the entry; `None` if the object isn't a
-    /// valid entry.
-    pub(super) fn parse(object: &Object) -> Option<(HolderId, Entry)> {
-        let entry: Entry = serde_json::from_str(&object.value).ok()?;
-        Some((entry.id.unwrap_or(object.revision), entry))
+    /// Parses a stored object and returns the identity with the entry.
+    ///
+    /// # Errors
+    /// The object isn't a valid entry; the text gives the reason.
+    pub(super) fn parse(object: &Object) -> Result<(HolderId, Entry), String> {
+        let entry: Entry =
+            serde_json::from_str(&object.value).map_err(|error| error.to_string())?;
+        let id = entry.id.unwrap_or(object.revision);
+        // The identity is the revision of an earlier write of this object.
+        if id == 0 || id > object.revision {
+            return Err(format!("identity {id} at revision {}", object.revision));
+        }
+        if object.name.is_empty() {
+            return Err("no name".to_owned());
+        }
+        for address in [entry.address, entry.admin] {
+            if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+                return Err(format!("address {address}"));
+            }
+        }
+        Ok((id, entry))
     }
 
     /// The member as it appears in the table.
@@ -93,7 +109,7 @@
         let found = self.platform.get(key).await?;
         self.record_contact(requested_at);
         let desired = self.desired_entry();
-        let stored = found.as_ref().and_then(Entry::parse);
+        let stored = found.as_ref().and_then(|object| Entry::parse(object).ok());
         if let Some((id, entry)) = &stored
             && entry.incarnation == desired.incarnation
         {
@@ -102,14 +118,23 @@
                 return Ok(true);
             }
         }
-        if let Some((_, entry)) = &stored
-            && let Some(delay) = self.replacement_delay(entry, clock::now())
-        {
+        let now = clock::now();
+        let delay = match &stored {
+            Some((_, entry)) => self.replacement_delay(entry, now),
+            None if self.may_have_lost_entry(found.is_some()) => {
+                // An earlier process of the instance may have granted keys until then.
+                let at = self.started_at + LEASE.mul_f64(1.0 + MAX_CLOCK_DRIFT);
+                at.checked_sub(now).filter(|delay| !delay.is_zero())
+            }
+            None => None,
+        };
+        if let Some(delay) = delay {
             tokio::time::timeout(delay, self.entry_changed.notified()).await.ok();
             return Ok(false);
         }
+        let registered = self.registered_incarnation(desired.incarnation.as_ref());
         let same_incarnation = stored.filter(|(_, entry)| entry.incarnation == desired.incarnation);
-        let next = Entry { id: same_incarnation.map(|(id, _)| id), ..desired };
+        let next = Entry { id: same_incarnation.map(|(id, _)| id).or(registered), ..desired };
         let expected =
             found.map_or(Precondition::Absent, |object| Precondition::At(object.revision));
         let value = serde_json::to_string(&next).unwrap_or_default();
@@ -135,6 +160,22 @@
         at.checked_sub(now).filter(|delay| !delay.is_zero())
     }
 
+    /// Whether the instance may have had an entry that another writer removed, or replaced by
+    /// something that can't be read.
+    fn may_have_lost_entry(&self, is_unreadable: bool) -> bool {
+        let table = self.table.borrow();
+        let instance = &self.shared.instance.name;
+        let is_listed = table.members.values().any(|member| member.instance == *instance);
+        self.id() == 0 && (is_unreadable || is_listed || table.version == 0)
+    }
+
+    /// The identity under which this process registered the incarnation, if it did.
+    fn registered_incarnation(&self, incarnation: Option<&Incarnation>) -> Option<HolderId> {
+        let server = self.server.borrow();
+        let latest = server.incarnations.latest().map(|latest| &latest.incarnation);
+        Some(self.id()).filter(|id| *id != 0 && latest == incarnation)
+    }
+
     fn desired_entry(&self) -> Entry {
         let instance = &self.shared.instance;
         let server = self.server.borrow();
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -1,6 +1,7 @@
 //! The leader's work: it renews the members' leases, and stores a new table when members join,
 //! leave or report.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 /// How long the store holds a watch request open.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Entries that can't be read: instance and reason.
+type UnreadableEntries = BTreeMap<String, String>;
+
 impl Fleet {
     /// Renews a member's lease. The renewal is empty unless this daemon leads.
     pub(super) fn renew_member(&self, from: HolderId, heartbeat: Heartbeat, now: Time) -> Renewal {
@@ -71,10 +75,11 @@
     /// write took effect.
     async fn read_table(self: &Rc<Self>) -> Result<(), Error> {
         let requested_at = clock::now();
-        let Some(object) = self.platform.get(TABLE).await? else { return Ok(()) };
+        let found = self.platform.get(TABLE).await?;
         self.record_contact(requested_at);
-        let table = serde_json::from_str::<Table>(&object.value)
-            .map_err(|error| Error::Malformed(error.to_string()))?;
+        let Some((object, table)) = self.read_table_object(found) else {
+            return self.rebuild_table().await;
+        };
         let is_own = table.run == self.run_id;
         self.apply_table(table);
         if let Some(leader) = self.leader.borrow_mut().as_mut().filter(|_| is_own) {
@@ -128,9 +133,10 @@
         let mut backoff = Backoff::new(fastrand::Rng::new());
         let term = self.table.borrow().term;
         let mut after: Option<Revision> = None;
+        let mut unreadable = UnreadableEntries::new();
         while self.leader.borrow().is_some() && self.table.borrow().term == term {
             let requested_at = clock::now();
-            match self.read_entries(after).await {
+            match self.read_entries(after, &mut unreadable).await {
                 Ok(revision) => {
                     backoff.reset();
                     self.record_contact(requested_at);
@@ -138,6 +144,10 @@
                 }
                 Err(Error::HistoryGone) => after = None,
                 Err(error) => {
+                    // A watch whose answer can't be read would get the same answer again.
+                    if matches!(error, Error::Malformed(_)) {
+                        after = None;
+                    }
                     log!(info, Event::PlatformUnavailable, what = ENTRY_KIND, reason = %error);
                     self.record_store_error();
                     tokio::time::sleep(backoff.next_delay()).await;
@@ -146,36 +156,57 @@
         }
     }
 
-    async fn read_entries(&self, after: Option<Revision>) -> Result<Revision, Error> {
+    async fn read_entries(
+        &self,
+        after: Option<Revision>,
+        unreadable: &mut UnreadableEntries,
+    ) -> Result<Revision, Error> {
         let Some(after) = after else {
             let listing = self.platform.list(ENTRY_KIND).await?;
             if let Some(leader) = self.leader.borrow_mut().as_mut() {
                 leader.reset_announcements();
             }
+            *unreadable =
+                listing.skipped.into_iter().map(|reason| (String::new(), reason)).collect();
             for object in &listing.objects {
-                self.record_entry(object);
+                self.record_entry(object, unreadable);
             }
+            self.note_unreadable_entries(unreadable);
             return Ok(listing.revision);
         };
         let changes = self.platform.watch(ENTRY_KIND, after, WATCH_TIMEOUT).await?;
+        unreadable.extend(changes.skipped.into_iter().map(|reason| (String::new(), reason)));
         for change in changes.changes {
             match change {
-                Change::Stored(object) => self.record_entry(&object),
+                Change::Stored(object) => self.record_entry(&object, unreadable),
                 Change::Removed(name) => {
+                    unreadable.remove(&name);
                     if let Some(leader) = self.leader.borrow_mut().as_mut() {
                         leader.withdraw(&name);
                     }
                 }
             }
         }
+        self.note_unreadable_entries(unreadable);
         Ok(changes.revision.max(after))
     }
 
-    fn record_entry(&self, object: &Object) {
-        let Some((id, entry)) = Entry::parse(object) else {
-            log!(warn, Event::Unreadable, what = "entry", name = object.name);
-            return;
+    fn note_unreadable_entries(&self, unreadable: &UnreadableEntries) {
+        let reasons = unreadable.iter().map(|(name, reason)| format!("{name:?}: {reason}"));
+        self.note_unreadable("entries", reasons.collect());
+    }
+
+    /// Records an entry. One that can't be read names no member; what its instance announced before
+    /// holds.
+    fn record_entry(&self, object: &Object, unreadable: &mut UnreadableEntries) {
+        let (id, entry) = match Entry::parse(object) {
+            Ok(parsed) => parsed,
+            Err(reason) => {
+                unreadable.insert(object.name.clone(), reason);
+                return;
+            }
         };
+        unreadable.remove(&object.name);
         if let Some(leader) = self.leader.borrow_mut().as_mut() {
             leader.announce(id, entry.to_member(&object.name), clock::now());
             if entry.has_ended {
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod store;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -81,6 +82,8 @@
     zone_out_at: Cell<Option<Time>>,
     /// When the server was last checked for having ended because reports were missing.
     last_end_check: Cell<Time>,
+    /// What can't be read of the store's objects, by object.
+    unreadable: RefCell<BTreeMap<&'static str, Vec<String>>>,
     fetches: documents::Fetches,
     polls: RefCell<election::Polls>,
     /// Triggers a heartbeat before the interval is over.
@@ -118,6 +121,7 @@
             was_lease_valid: Cell::new(false),
             zone_out_at: Cell::new(None),
             last_end_check: Cell::new(Time::ZERO),
+            unreadable: RefCell::default(),
             fetches: documents::Fetches::default(),
             polls: RefCell::default(),
             heartbeat_due: Notify::new(),
--- a/crates/daemon/src/fleet/publish.rs
+++ b/crates/daemon/src/fleet/publish.rs
@@ -107,6 +107,7 @@
             unresponsive: self.silent_members.borrow().clone(),
             next_report_at: running.map_or(Time::MAX, |running| self.next_report(running)),
             agreed_table: Some(Arc::clone(&table)),
+            unreadable: Arc::new(self.unreadable.borrow().values().flatten().cloned().collect()),
             ..View::default()
         };
         metrics::gauge!(metric::SLICES_SERVED).set(view.fences.len() as f64);
--- a/crates/daemon/src/fleet/reports.rs
+++ b/crates/daemon/src/fleet/reports.rs
@@ -30,6 +30,8 @@
 const MISSED_REPORT_INTERVALS: f64 = 2.5;
 /// Maximum size of a request's head and of the read buffer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Longest time by which a server's time of day is ahead of the daemon's.
+const MAX_CLOCK_AHEAD: Duration = Duration::from_secs(24 * 3_600);
 /// Maximum size of a report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Timeout for receiving a request's body.
@@ -116,6 +118,17 @@
 
     fn on_report(self: &Rc<Self>, server: &str, body: &[u8]) -> Reply {
         let report = match Report::parse(server, body) {
+            Ok(report) if is_from_the_future(&report) => {
+                log!(
+                    warn,
+                    Event::Unreadable,
+                    what = "report",
+                    reason = "started in the future",
+                    server,
+                    born = report.started_ms
+                );
+                return status_reply(StatusCode::BAD_REQUEST);
+            }
             Ok(report) if report.service == self.shared.instance.service => report,
             Ok(report) => {
                 log!(
@@ -264,6 +277,13 @@
     }
 }
 
+/// Whether a report tells a start that is later than clocks differ. Its sender would count as later
+/// than every server that really starts.
+fn is_from_the_future(report: &Report) -> bool {
+    let latest = clock::since_epoch() + MAX_CLOCK_AHEAD;
+    u128::from(report.started_ms) > latest.as_millis()
+}
+
 /// Whether connections to an address of this machine are refused because nothing listens there.
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -5,12 +5,16 @@
 use std::time::Duration;
 
 use cactushold_platform::config::{self, CONFIG, EVACUATION_KIND};
-use cactushold_platform::{Backoff, Change, Error, Object, Revision};
+use cactushold_platform::{Backoff, Change, Changes, Error, Listing, Object, Revision};
 
 use crate::event::Event;
 use crate::fleet::Fleet;
-use crate::{clock, log};
+use crate::{clock, log, metric};
 
+/// Maximum length of a reason that is kept, in characters: odd content can be long.
+const MAX_REASON: usize = 200;
+/// Maximum number of reasons that are kept for one object.
+const MAX_REASONS: usize = 20;
 /// How long the store holds a watch request open. A watch whose connection has stalled is noticed
 /// only after this time, unless the leader announces a newer version first.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
@@ -28,8 +32,8 @@
 
 /// The result of a read: all objects, or the changes since the last read.
 enum Update {
-    Snapshot(Vec<Object>),
-    Changes(Vec<Change>),
+    Snapshot(Listing),
+    Changes(Changes),
 }
 
 impl KindWatch {
@@ -51,6 +55,10 @@
                 }
                 Err(Error::HistoryGone) => watch.after = None,
                 Err(error) => {
+                    // A watch whose answer can't be read would get the same answer again.
+                    if matches!(error, Error::Malformed(_)) {
+                        watch.after = None;
+                    }
                     log!(info, Event::PlatformUnavailable, what = watch.kind, reason = %error);
                     self.record_store_error();
                     tokio::time::sleep(watch.backoff.next_delay()).await;
@@ -64,35 +72,63 @@
             None => {
                 let listing = self.platform.list(watch.kind).await?;
                 watch.after = Some(listing.revision);
-                Ok(Update::Snapshot(listing.objects))
+                Ok(Update::Snapshot(listing))
             }
             Some(after) => {
                 let wait = if self.is_leading() { LEADER_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
                 let changes = tokio::select! {
                     changes = self.platform.watch(watch.kind, after, wait) => changes?,
                     // A leader uses shorter watches, since the others depend on them.
-                    () = self.leadership_started.notified() => return Ok(Update::Changes(Vec::new())),
+                    () = self.leadership_started.notified() => {
+                        return Ok(Update::Changes(Changes::default()));
+                    }
                 };
                 watch.after = Some(changes.revision.max(after));
-                Ok(Update::Changes(changes.changes))
+                Ok(Update::Changes(changes))
             }
         }
     }
 
+    /// Records what can't be read of an object, instead of what was recorded before. Logs it if it
+    /// has changed.
+    pub(super) fn note_unreadable(&self, object: &'static str, reasons: Vec<String>) {
+        metrics::gauge!(metric::UNREADABLE, "object" => object).set(reasons.len() as f64);
+        let lines = reasons.iter().take(MAX_REASONS).map(|reason| {
+            let reason: String = reason.chars().take(MAX_REASON).collect();
+            format!("{object}: {reason}")
+        });
+        let lines: Vec<String> = lines.collect();
+        let before = self.unreadable.borrow().get(object).cloned().unwrap_or_default();
+        if lines == before {
+            return;
+        }
+        if let Some(first) = lines.first() {
+            log!(
+                warn,
+                Event::Unreadable,
+                what = object,
+                parts = reasons.len(),
+                reason = %first
+            );
+        }
+        self.unreadable.borrow_mut().insert(object, lines);
+    }
+
     /// Keeps the configuration up to date.
     pub(super) async fn watch_config(self: Rc<Self>) {
         let mut watch = KindWatch::new(CONFIG.kind);
         loop {
             let objects = match self.next_update(&mut watch).await {
-                Update::Snapshot(objects) => objects,
-                Update::Changes(changes) => stored_objects(changes),
+                Update::Snapshot(listing) => listing.objects,
+                Update::Changes(changes) => stored_objects(changes.changes),
             };
             for object in objects.iter().filter(|object| object.name == CONFIG.name) {
                 match config::parse(&object.value) {
-                    Ok(config) => self.apply_config(config),
-                    Err(error) => {
-                        log!(warn, Event::Unreadable, what = "configuration", reason = %error);
+                    Ok(parsed) => {
+                        self.note_unreadable("configuration", parsed.rejected);
+                        self.apply_config(parsed.config);
                     }
+                    Err(error) => self.note_unreadable("configuration", vec![error.to_string()]),
                 }
             }
         }
@@ -104,14 +140,20 @@
         let mut evacuated: BTreeSet<String> = BTreeSet::new();
         loop {
             match self.next_update(&mut watch).await {
-                Update::Snapshot(objects) => {
+                Update::Snapshot(listing) => {
+                    self.note_unreadable("evacuations", listing.skipped);
+                    let objects = listing.objects.into_iter();
                     evacuated = objects
-                        .into_iter()
                         .filter(|object| !object.is_deleting)
                         .map(|object| object.name)
                         .collect();
                 }
-                Update::Changes(changes) => apply_changes(&mut evacuated, changes),
+                Update::Changes(changes) => {
+                    if !changes.skipped.is_empty() {
+                        self.note_unreadable("evacuations", changes.skipped);
+                    }
+                    apply_changes(&mut evacuated, changes.changes);
+                }
             }
             let revision = watch.after.unwrap_or_default();
             self.apply_zones(
--- a/crates/daemon/src/ingress/route.rs
+++ b/crates/daemon/src/ingress/route.rs
@@ -44,7 +44,8 @@
             Refusal::new(FailureKind::BadRequest).with_detail("the attempt id header is missing")
         );
     }
-    let service = route.pick_backend(worker.random.borrow_mut().f64()).to_owned();
+    let backend = route.pick_backend(worker.random.borrow_mut().f64());
+    let service = backend.ok_or_else(|| Refusal::new(FailureKind::NoUpstream))?.to_owned();
     let key = find_key_position(&view.config, &service, &head)?;
     let timeout = admit::caller_timeout(&head.headers, route.timeout)?.min(route.timeout);
     let limits = view.config.callers;
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -29,6 +29,8 @@
 pub const CONFIG_VERSION: &str = "cactushold_config_version";
 /// Version of the slice table in force.
 pub const TABLE_VERSION: &str = "cactushold_table_version";
+/// Parts of the store's objects that this daemon can't read, by object.
+pub const UNREADABLE: &str = "cactushold_unreadable";
 /// Connections replaced because they went silent, by the kind of the other end.
 pub const SILENT_CONNECTIONS: &str = "cactushold_silent_connections_total";
 /// CPU time used by control work, in microseconds.
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -62,6 +62,8 @@
     pub next_report_at: Time,
     /// The table that the daemons agreed on through the store, in fleets that use one.
     pub agreed_table: Option<Arc<cactushold_ownership::Table>>,
+    /// Parts of the store's objects that this daemon can't read, each with the reason.
+    pub unreadable: Arc<Vec<String>>,
 }
 
 impl View {
--- a/crates/daemon/tests/platform/cases.rs
+++ b/crates/daemon/tests/platform/cases.rs
@@ -115,7 +115,7 @@
     fill(environment).await
 }
 
-async fn fill(mut environment: Environment) -> Environment {
+pub async fn fill(mut environment: Environment) -> Environment {
     environment.store("config", "main", &config(1)).await;
     for (name, zone, service) in INSTANCES {
         environment.add_reporting(name, zone, service).await;
--- a/crates/daemon/tests/platform/endless.rs
+++ b/crates/daemon/tests/platform/endless.rs
@@ -122,7 +122,7 @@
 
 impl Deployment {
     async fn start() -> Deployment {
-        let mut environment = Environment::new().await;
+        let mut environment = Environment::alone().await;
         environment.store("config", "main", &config("00000001")).await;
         let arrived = Arrived::default();
         let mut proxies = Vec::new();
@@ -340,7 +340,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_whose_answers_do_not_end_costs_callers_nothing() {
-    let mut environment = Environment::new().await;
+    let mut environment = Environment::alone().await;
     environment.store("config", "main", &config("00000001")).await;
     let (floods, is_flooding) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
     let (count, flag) = (Arc::clone(&floods), Arc::clone(&is_flooding));
@@ -405,7 +405,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_endless_report_leaves_the_control_thread_to_others() {
-    let mut environment = Environment::new().await;
+    let mut environment = Environment::alone().await;
     environment.store("config", "main", &config("00000001")).await;
     let index = environment.add_reporting("calm-1", "a", "calm").await;
     let daemon = &environment.daemons[index];
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod idle_servers;
 mod loads;
 mod logs;
+mod odd_entries;
 mod ownership;
 mod path;
 mod pipelines;
--- a/crates/daemon/tests/system/cases.rs
+++ b/crates/daemon/tests/system/cases.rs
@@ -16,7 +16,7 @@
 
 /// Five daemons with the configuration loaded.
 pub async fn small() -> Environment {
-    let mut environment = Environment::new().await;
+    let mut environment = Environment::alone().await;
     SMALL.start(&mut environment, RUN).await;
     environment
 }
--- a/crates/daemon/tests/system/network.rs
+++ b/crates/daemon/tests/system/network.rs
@@ -13,7 +13,7 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 async fn relayed() -> Environment {
-    let mut environment = Environment::new().await;
+    let mut environment = Environment::alone().await;
     environment.with_relays = true;
     SMALL.start(&mut environment, RUN).await;
     environment
--- a/crates/daemon/tests/system/rates.rs
+++ b/crates/daemon/tests/system/rates.rs
@@ -75,7 +75,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn cold_upstreams_get_no_more_than_they_bear() {
-    let mut environment = Environment::new().await;
+    let mut environment = Environment::alone().await;
     for (at, zone) in ["a", "b", "c"].into_iter().enumerate() {
         let shape = Shape { slots: 12, run: RUN, cold: true, seed: at as u64 };
         environment.add(&format!("ruling-{at}"), zone, "ruling", shape).await;
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -326,19 +326,24 @@
         let revision = self.revision.filter(|_| self.is_listed && self.lessor.is_valid(now))?;
         let mut next = table.clone();
         next.version += 1;
-        let members_changed = self.update_members(&mut next);
+        let members_changed = self.update_members(&mut next, now);
         let mut changed = members_changed && now >= self.last_write + MEMBERS_INTERVAL;
+        if next.has_unknown_holders && now >= self.lessor.earlier_leases_end() {
+            next.has_unknown_holders = false;
+            changed = true;
+        }
         let gone = self.gone(&next, now);
         let may_balance = now > self.last_balance + BALANCE_INTERVAL;
         for service in keyed {
             let is_divided = next.services.contains_key(service);
-            if !is_divided && now < self.last_new_announcement + SETTLE_TIME {
+            let is_settled = now >= self.last_new_announcement + SETTLE_TIME;
+            if !is_divided && (next.has_unknown_holders || !is_settled) {
                 continue;
             }
             // A zone that is out affects servers only: its daemons still hold ranges of internal services.
             let is_in = |zone: &str| is_internal(service) || is_zone_in(zone);
             let context = self.plan_context(&next, is_in, now);
-            let servers = self.servers(service, &context);
+            let servers = self.servers(&next, service, &context);
             let samples = servers.iter().filter_map(|server| self.samples.get(&server.id));
             let traffic = Traffic::new(samples);
             let before = next.services.get(service).cloned();
@@ -358,12 +363,28 @@
     }
 
     /// Replaces the table's members by those that are announced. Returns whether they changed.
-    fn update_members(&self, table: &mut Table) -> bool {
-        let announced = self.announced.values().map(|(id, member)| {
-            let serves = member.serves && !self.ended.contains(id);
-            (*id, Member { serves, ..member.clone() })
+    ///
+    /// A member whose entry another writer removed or made unreadable stays until its lease has
+    /// expired and no range names it: unlike one that its own daemon replaced, it may still hold
+    /// keys.
+    fn update_members(&self, table: &mut Table, now: Time) -> bool {
+        let announced = self.announced.values().map(|(id, member)| (*id, member));
+        let ranges = table.services.values().flatten();
+        let named: BTreeSet<HolderId> = ranges.flat_map(|r| [r.holder, r.previous]).collect();
+        let unlisted = table.members.iter().filter(|(id, member)| {
+            !self.announced.contains_key(&member.instance)
+                && (named.contains(id) || !self.has_lapsed(**id, now))
         });
-        let members: BTreeMap<HolderId, Member> = announced.collect();
+        let mut members: BTreeMap<HolderId, Member> = BTreeMap::new();
+        for (id, member) in announced.chain(unlisted.map(|(id, member)| (*id, member))) {
+            // Of two entries with the same identity, the one that the table knows is valid.
+            let is_known = table.members.get(&id).is_some_and(|m| m.instance == member.instance);
+            if members.contains_key(&id) && !is_known {
+                continue;
+            }
+            let serves = member.serves && !self.ended.contains(&id);
+            members.insert(id, Member { serves, ..member.clone() });
+        }
         let changed = members != table.members;
         table.members = members;
         changed
@@ -406,14 +427,14 @@
     }
 
     /// Servers that may be given ranges of a service.
-    fn servers(&self, service: &str, context: &PlanContext) -> Vec<Server> {
-        let eligible = self.announced.values().filter(|(id, member)| {
+    fn servers(&self, table: &Table, service: &str, context: &PlanContext) -> Vec<Server> {
+        let eligible = table.members.iter().filter(|(id, member)| {
             (member.service == service || is_internal(service))
                 && member.serves
                 && !context.gone.contains(id)
                 && !context.leaving.contains(id)
                 && !self.ended.contains(id)
-                && self.is_heard(*id)
+                && self.is_heard(**id)
         });
         let none = Sample::default();
         let servers = eligible.map(|(id, _)| {
--- a/crates/ownership/src/lessor.rs
+++ b/crates/ownership/src/lessor.rs
@@ -59,6 +59,11 @@
         self.confirmed_at
     }
 
+    /// When every lease that an earlier leader renewed has certainly expired.
+    pub fn earlier_leases_end(&self) -> Time {
+        self.earlier_leases_end
+    }
+
     /// Whether the leader may still renew leases.
     pub fn is_valid(&self, now: Time) -> bool {
         now < self.confirmed_at + LEADER_LEASE
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -68,11 +68,65 @@
     pub leader_address: Option<SocketAddr>,
     /// Members, by the ID of their current incarnation.
     pub members: BTreeMap<HolderId, Member>,
+    /// Whether holders of earlier tables may hold ranges that this table doesn't tell, because the
+    /// table that named them was lost.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_unknown_holders: bool,
     /// Ranges of each keyed service, ordered by position.
     pub services: BTreeMap<String, Vec<Range>>,
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 impl Table {
+    /// The table with which a new leader replaces one that can't be read, which was stored at
+    /// `revision`. Its version and term are no lower than those of any earlier table, since each
+    /// was stored under a revision of its own.
+    ///
+    /// ```
+    /// use cactushold_ownership::Table;
+    /// let table = Table::rebuilt(20);
+    /// assert!(table.has_unknown_holders);
+    /// assert_eq!((table.version, table.term), (20, 20));
+    /// ```
+    pub fn rebuilt(revision: u64) -> Table {
+        Table { version: revision, term: revision, has_unknown_holders: true, ..Table::default() }
+    }
+
+    /// Checks a table that was read at `revision` of the store: ranges are in order and cover all
+    /// positions, and its version is not above the revision, since each table is a write.
+    ///
+    /// ```
+    /// use cactushold_ownership::Table;
+    /// let mut table = Table { version: 5, term: 2, ..Table::default() };
+    /// table.divide_evenly("s", &[7, 9]);
+    /// assert_eq!(table.check(5), Ok(()));
+    /// assert!(table.check(4).is_err());
+    /// table.services.get_mut("s").unwrap()[1].first = 0;
+    /// assert!(table.check(5).is_err());
+    /// ```
+    ///
+    /// # Errors
+    /// Tells what doesn't hold.
+    pub fn check(&self, revision: u64) -> Result<(), String> {
+        if self.version > revision || self.term > self.version {
+            let (version, term) = (self.version, self.term);
+            return Err(format!("version {version} of term {term} at revision {revision}"));
+        }
+        for (service, ranges) in &self.services {
+            let is_ordered = ranges.is_sorted_by(|a, b| a.first < b.first);
+            if !is_ordered || ranges.first().is_none_or(|range| range.first != 0) {
+                return Err(format!("ranges of {service:?} out of order"));
+            }
+            if ranges.iter().any(|range| range.fence > self.version) {
+                return Err(format!("a fence of {service:?} above version {}", self.version));
+            }
+        }
+        Ok(())
+    }
+
     /// The range of a service that contains a position.
     pub fn locate(&self, service: &str, position: Position) -> Option<Range> {
         let ranges = self.services.get(service)?;
--- a/crates/ownership/tests/search.rs
+++ b/crates/ownership/tests/search.rs
@@ -19,6 +19,14 @@
 /// as well has expired 11.6 s later.
 const REFUSED_LEADER_LIMIT: Duration = Duration::from_secs(25);
 
+/// Time by which keys are served later if the table was lost: until the leases of all earlier
+/// leaders have expired, no key is divided.
+const LOST_TABLE_DELAY: Duration = Duration::from_secs(12);
+
+fn limit(usual: Duration, simulation: &Simulation) -> Duration {
+    if simulation.has_lost_table() { usual + LOST_TABLE_DELAY } else { usual }
+}
+
 fn env_number(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
@@ -61,10 +69,10 @@
 
 #[test]
 fn keys_are_served_again_once_faults_stop() {
-    for seed in 0..300 {
+    for seed in 0..1_000 {
         let mut simulation = Simulation::new(seed, None);
         simulation.run(LENGTH).expect("no fault");
-        let waited = simulation.time_until_served(Duration::from_secs(20));
+        let waited = simulation.time_until_served(limit(Duration::from_secs(20), &simulation));
         assert!(waited.is_some(), "seed {seed}: keys without a server: {}", simulation.describe());
     }
 }
@@ -76,7 +84,7 @@
         let mut simulation = Simulation::new(seed, mutation);
         simulation.run(LENGTH).expect("no fault");
         simulation.refuse_leader_for_good();
-        let waited = simulation.time_until_served(REFUSED_LEADER_LIMIT);
+        let waited = simulation.time_until_served(limit(REFUSED_LEADER_LIMIT, &simulation));
         waited.is_none().then(|| format!("seed {seed}: {}", simulation.describe()))
     })
 }
@@ -132,6 +140,16 @@
     assert_detected(Mutation::EarlyRelease);
 }
 
+#[test]
+fn dividing_keys_at_once_after_the_table_was_lost_is_detected() {
+    assert_detected(Mutation::DivideLostTable);
+}
+
+#[test]
+fn taking_a_member_whose_entry_was_removed_for_gone_is_detected() {
+    assert_detected(Mutation::ForgetRemovedEntries);
+}
+
 #[test]
 fn taking_a_stale_report_for_a_new_incarnation_is_detected() {
     assert_detected(Mutation::AcceptAnyIncarnation);
--- a/crates/ownership/tests/simulation/leading.rs
+++ b/crates/ownership/tests/simulation/leading.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Holder, Leader, Table, Time};
+use cactushold_ownership::{Holder, LEASE, Leader, MAX_CLOCK_DRIFT, Table, Time};
 
 use super::parts::{Event, leader_of, member};
 use super::store::Outcome;
-use super::{Mutation, REPORT, SERVICE, SILENCE, Simulation};
+use super::{DAEMONS, Mutation, REPORT, SERVICE, SILENCE, Simulation};
 
 impl Simulation {
     pub(super) fn detect_server_end(&mut self, index: usize) {
@@ -47,7 +47,7 @@
         if self.may_announced_incarnation_hold(index) {
             return;
         }
-        if !self.reaches_store(index) {
+        if !self.reaches_store(index) || self.may_have_lost_entry(index) {
             return;
         }
         let id = self.store.register(index, incarnation);
@@ -55,6 +55,27 @@
         self.daemons[index].holder = Some(holder);
     }
 
+    /// Whether another writer removed the entry of an earlier process of the daemon, which may have
+    /// granted ranges.
+    fn may_have_lost_entry(&self, index: usize) -> bool {
+        let daemon = &self.daemons[index];
+        let name = index.to_string();
+        let is_listed = daemon.table.members.values().any(|member| member.instance == name);
+        self.store.announced(index).is_none()
+            && (is_listed || daemon.table.version == 0)
+            && self.now < daemon.began + LEASE.mul_f64(1.0 + MAX_CLOCK_DRIFT)
+    }
+
+    /// Writes the entry again that another writer removed.
+    pub(super) fn restore_entry(&mut self, index: usize) {
+        let daemon = &self.daemons[index];
+        let Some(latest) = daemon.incarnations.latest() else { return };
+        let Some(holder) = &daemon.holder else { return };
+        if self.store.announced(index).is_none() && self.reaches_store(index) {
+            self.store.restore_entry(index, holder.id(), latest.incarnation.clone());
+        }
+    }
+
     pub(super) fn try_to_lead(&mut self, index: usize) {
         let daemon = &self.daemons[index];
         let was_leader = leader_of(&daemon.table) == Some(index);
@@ -65,13 +86,22 @@
             return;
         }
         let (revision, stored) = self.store.read();
-        let (term, is_new) = (daemon.table.term, stored.version == 0);
-        let has_other_leader = stored.term > term && !was_leader && !is_new;
         let asked = self.now;
-        self.learn(index, &stored);
-        if has_other_leader {
-            return;
-        }
+        let stored = match stored {
+            Some(stored) => {
+                let (term, is_new) = (daemon.table.term, stored.version == 0);
+                let has_other_leader = stored.term > term && !was_leader && !is_new;
+                self.learn(index, &stored);
+                if has_other_leader {
+                    return;
+                }
+                stored
+            }
+            None => Arc::new(Table {
+                has_unknown_holders: !self.is_mutated(Mutation::DivideLostTable),
+                ..Table::rebuilt(revision)
+            }),
+        };
         let run = self.daemons[index].run;
         let next = Table {
             version: stored.version + 1,
@@ -97,7 +127,7 @@
         if self.daemons[index].leader.is_some() || !self.reaches_store(index) {
             return;
         }
-        let (_, stored) = self.store.read();
+        let (_, Some(stored)) = self.store.read() else { return };
         self.learn(index, &stored);
         self.daemons[index].confirmation = Some((stored.term, self.now));
     }
@@ -127,6 +157,11 @@
             if !is_listed {
                 leader.reset_announcements();
             }
+            for instance in 0..DAEMONS {
+                if !entries.iter().any(|(listed, _)| *listed == instance) {
+                    leader.withdraw(&instance.to_string());
+                }
+            }
             for (instance, id) in &entries {
                 leader.announce(*id, member(*instance), asked);
                 if self.store.has_ended(*id) {
@@ -141,9 +176,15 @@
             self.log(|_| format!("daemon {index} resigns"));
             self.daemons[index].leader = None;
         }
+        let mutation = self.mutation;
         let daemon = &mut self.daemons[index];
         let Some(leader) = &mut daemon.leader else { return };
         let is_in = |zone: &str| !zone.parse::<usize>().is_ok_and(|zone| zones_out[zone]);
+        if mutation == Some(Mutation::ForgetRemovedEntries) {
+            let is_listed = |instance: &str| entries.iter().any(|(i, _)| i.to_string() == instance);
+            let table = Arc::make_mut(&mut daemon.table);
+            table.members.retain(|_, member| is_listed(&member.instance));
+        }
         let services = std::iter::once(SERVICE);
         let Some((next, revision)) = leader.next_table(&daemon.table, services, is_in, asked)
         else {
@@ -182,6 +223,11 @@
     fn read_table(&mut self, index: usize) {
         let asked = self.now;
         let (revision, stored) = self.store.read();
+        let Some(stored) = stored else {
+            self.daemons[index].leader = None;
+            self.try_to_lead(index);
+            return;
+        };
         self.learn(index, &stored);
         if let Some(leader) = &mut self.daemons[index].leader {
             leader.table_read(revision, asked);
--- a/crates/ownership/tests/simulation/mod.rs
+++ b/crates/ownership/tests/simulation/mod.rs
@@ -57,6 +57,10 @@
     AcceptAnyIncarnation,
     /// A leader doesn't resign while the store answers members but not the leader.
     NeverResign,
+    /// A leader that finds no readable table divides the keys at once.
+    DivideLostTable,
+    /// A member whose entry was removed counts as gone at once.
+    ForgetRemovedEntries,
 }
 
 /// The state of one schedule.
@@ -73,6 +77,8 @@
     store_refuses_until: Vec<Time>,
     /// Whether each daemon's zone is out.
     zones_out: Vec<bool>,
+    /// Whether another writer has made the table unreadable.
+    has_lost_table: bool,
     queue: BinaryHeap<Reverse<Due>>,
     event_count: u64,
     process_count: u64,
@@ -112,6 +118,7 @@
             store: Store::default(),
             store_refuses_until: vec![Time::ZERO; DAEMONS],
             zones_out: vec![false; DAEMONS],
+            has_lost_table: false,
             random,
             mutation,
             queue: BinaryHeap::new(),
@@ -176,6 +183,11 @@
         Ok(())
     }
 
+    /// Whether another writer made the table unreadable at any time.
+    pub fn has_lost_table(&self) -> bool {
+        self.has_lost_table
+    }
+
     /// Stops all faults and runs until every key has a server. Returns how long that took; `None` if
     /// it took more than `longest`.
     pub fn time_until_served(&mut self, longest: Duration) -> Option<Duration> {
@@ -252,8 +264,8 @@
         let index = self.random.usize(..DAEMONS);
         let span = Duration::from_millis(self.random.u64(200..7_000));
         let state = self.random.clone();
-        self.log(|_| format!("fault at {index} for {span:?}, kind {}", state.clone().u32(..10)));
-        match self.random.u32(..10) {
+        self.log(|_| format!("fault at {index} for {span:?}, kind {}", state.clone().u32(..12)));
+        match self.random.u32(..12) {
             0 => self.daemons[index].paused_until = self.now + span,
             1 => self.daemons[index].cut_off_until = self.now + span,
             2 | 3 => self.kill(index),
@@ -268,6 +280,11 @@
                 self.schedule(self.now + delay, Event::StartServer(index));
             }
             6 => self.store.disturb(self.now + span, &mut self.random),
+            10 if self.random.u32(..3) == 0 => {
+                self.store.garble_table();
+                self.has_lost_table = true;
+            }
+            10 | 11 => self.store.remove_entry(index),
             7 => self.zones_out[index] = !self.zones_out[index],
             8 => {
                 // A leader is cut off from the other daemons while the store is disturbed.
@@ -544,6 +561,10 @@
         }
         self.detect_server_end(index);
         self.register(index);
+        // Entries are written again only when something changes.
+        if self.random.u32(..50) == 0 {
+            self.restore_entry(index);
+        }
         if self.daemons[index].leader.is_some() {
             self.run_leader(index);
         } else {
--- a/crates/ownership/tests/simulation/store.rs
+++ b/crates/ownership/tests/simulation/store.rs
@@ -31,6 +31,8 @@
     entries: BTreeMap<usize, (HolderId, Incarnation)>,
     ended: Vec<HolderId>,
     late: Vec<LateWrite>,
+    /// Whether another writer replaced the table by something that can't be read.
+    is_garbled: bool,
     down_until: Time,
     lossy_until: Time,
 }
@@ -52,8 +54,26 @@
         }
     }
 
-    pub fn read(&self) -> (u64, Arc<Table>) {
-        (self.table_revision, Arc::clone(&self.table))
+    /// The revision of the table, and the table if it can be read.
+    pub fn read(&self) -> (u64, Option<Arc<Table>>) {
+        (self.table_revision, (!self.is_garbled).then(|| Arc::clone(&self.table)))
+    }
+
+    /// Another writer replaces the table by something that can't be read.
+    pub fn garble_table(&mut self) {
+        self.revision += 1;
+        self.table_revision = self.revision;
+        self.is_garbled = true;
+    }
+
+    /// Another writer removes an entry, or replaces it by something that can't be read.
+    pub fn remove_entry(&mut self, instance: usize) {
+        self.entries.remove(&instance);
+    }
+
+    /// Writes the entry of an incarnation that was registered before.
+    pub fn restore_entry(&mut self, instance: usize, id: HolderId, incarnation: Incarnation) {
+        self.entries.insert(instance, (id, incarnation));
     }
 
     pub fn entries(&self) -> Vec<(usize, HolderId)> {
@@ -122,6 +142,7 @@
         self.revision += 1;
         self.table_revision = self.revision;
         self.table = Arc::new(table);
+        self.is_garbled = false;
         true
     }
 
--- a/crates/standin/src/bench/slopes.rs
+++ b/crates/standin/src/bench/slopes.rs
@@ -76,7 +76,7 @@
 
 /// Starts a fleet of one keyed service and measures it at rest for `seconds`.
 pub async fn run(daemons: usize, seconds: u64) -> Row {
-    let mut environment = Environment::new().await;
+    let mut environment = Environment::alone().await;
     for index in 0..daemons {
         let shape =
             Shape { slots: 12, run: Duration::from_millis(3), cold: false, seed: index as u64 };
--- a/crates/standin/src/environment.rs
+++ b/crates/standin/src/environment.rs
@@ -9,6 +9,7 @@
 
 use hyper::Method;
 use serde_json::{Value, json};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::daemon::{Daemon, Log};
 use crate::flood::{Flood, Proxy};
@@ -27,12 +28,15 @@
 /// Time of a run at a server that reports.
 const RUN: Duration = Duration::from_millis(5);
 
-/// One environment at a time: others would take its processors and look like failures.
-static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+/// Environments of one process that run beside each other. More would take each other's processors,
+/// which looks like failures.
+const MAX_CONCURRENT: u32 = 3;
+
+static TURNS: Semaphore = Semaphore::const_new(MAX_CONCURRENT as usize);
 
 /// Stand-ins and daemons of one run.
 pub struct Environment {
-    _turn: tokio::sync::MutexGuard<'static, ()>,
+    _turn: SemaphorePermit<'static>,
     /// Address of the platform stand-in.
     pub platform: SocketAddr,
     /// The daemons, in the order they were started.
@@ -77,7 +81,20 @@
     /// # Panics
     /// It can't be started.
     pub async fn new() -> Environment {
-        let turn = TURN.lock().await;
+        Environment::with_turns(1).await
+    }
+
+    /// Like [`Environment::new`], with no other environment of this process beside it, for sessions
+    /// that measure times.
+    ///
+    /// # Panics
+    /// The stand-in can't be started.
+    pub async fn alone() -> Environment {
+        Environment::with_turns(MAX_CONCURRENT).await
+    }
+
+    async fn with_turns(count: u32) -> Environment {
+        let turn = TURNS.acquire_many(count).await.expect("never closed");
         let any = ([127, 0, 0, 1], 0).into();
         let (platform, _) = platform::start(any).await.expect("a free port");
         let name = format!("cactushold-{}-{}", std::process::id(), platform.port());
@@ -238,8 +255,27 @@
     /// # Panics
     /// The stand-in doesn't take it.
     pub async fn store(&self, kind: &str, name: &str, spec: &Value) {
+        self.store_text(kind, name, &spec.to_string()).await;
+    }
+
+    /// Adds an item of any bytes to the listings and watches of a kind.
+    ///
+    /// # Panics
+    /// The stand-in doesn't answer.
+    pub async fn store_odd_item(&self, kind: &str, bytes: impl Into<Vec<u8>>) {
+        let path = format!("/_odd/{kind}");
+        let call = self.http.send(Method::POST, self.platform, &path, &[], bytes.into());
+        assert!(call.await.is_ok_and(|answer| answer.status == 200), "{kind}: item not added");
+    }
+
+    /// Writes an object whose spec is any JSON text.
+    ///
+    /// # Panics
+    /// The stand-in doesn't take it.
+    pub async fn store_text(&self, kind: &str, name: &str, spec: &str) {
         let path = format!("/v1/objects/{kind}");
-        let body = json!({ "metadata": { "name": name }, "spec": spec }).to_string();
+        let metadata = json!({ "name": name });
+        let body = format!("{{\"metadata\":{metadata},\"spec\":{spec}}}");
         let call = self.http.send(Method::POST, self.platform, &path, &[], body.clone());
         if call.await.is_ok_and(|answer| answer.status == 200) {
             return;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -8,7 +8,8 @@
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, Json, Path, Query};
-use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler};
+use poem::{Body, EndpointExt, IntoResponse, Response, Route, Server, get, handler};
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
@@ -80,10 +81,20 @@
     created: u64,
     finalizers: Value,
     is_deleting: bool,
-    spec: Value,
+    /// JSON text, which may be of any depth and size.
+    spec: Box<RawValue>,
     status: Value,
 }
 
+/// Body of a request that writes an object.
+#[derive(serde::Deserialize)]
+struct Written {
+    #[serde(default)]
+    metadata: Value,
+    #[serde(default)]
+    spec: Box<RawValue>,
+}
+
 /// A change, for watches that come later.
 #[derive(Clone)]
 struct Event {
@@ -93,6 +104,14 @@
     is_removed: bool,
 }
 
+/// An item of a listing, and event of a watch, that isn't an object: any bytes.
+#[derive(Clone)]
+struct OddItem {
+    kind: String,
+    revision: u64,
+    bytes: Vec<u8>,
+}
+
 struct Rate {
     tokens: f64,
     at: Instant,
@@ -103,6 +122,7 @@
     /// By kind and name.
     objects: BTreeMap<(String, String), Object>,
     events: Vec<Event>,
+    odd_items: Vec<OddItem>,
     /// Watches from before this revision are told that the history is gone.
     kept_since: u64,
     faults: Faults,
@@ -130,18 +150,16 @@
 }
 
 impl Object {
-    fn json(&self, name: &str) -> Value {
-        json!({
-            "metadata": {
-                "name": name,
-                "revision": self.revision,
-                "created": self.created,
-                "finalizers": self.finalizers,
-                "deleting": self.is_deleting,
-            },
-            "spec": self.spec,
-            "status": self.status,
-        })
+    fn json(&self, name: &str) -> String {
+        let metadata = json!({
+            "name": name,
+            "revision": self.revision,
+            "created": self.created,
+            "finalizers": self.finalizers,
+            "deleting": self.is_deleting,
+        });
+        let (spec, status) = (self.spec.get(), &self.status);
+        format!("{{\"metadata\":{metadata},\"spec\":{spec},\"status\":{status}}}")
     }
 }
 
@@ -168,6 +186,7 @@
             revision: 0,
             objects: BTreeMap::new(),
             events: Vec::new(),
+            odd_items: Vec::new(),
             kept_since: 0,
             faults: Faults::default(),
             calls: Calls::default(),
@@ -224,33 +243,39 @@
     }
 
     /// One page of a kind.
-    fn page(&self, kind: &str, after: &str) -> Value {
+    fn page(&self, kind: &str, after: &str) -> Vec<u8> {
         self.with(|state| {
             let of_kind = state.objects.iter().filter(|((found, _), _)| found == kind);
             let mut rest = of_kind.filter(|((_, name), _)| name.as_str() > after);
-            let items: Vec<Value> =
-                rest.by_ref().take(PAGE).map(|((_, name), object)| object.json(name)).collect();
+            let items = rest.by_ref().take(PAGE).map(|((_, name), object)| object.json(name));
+            let mut items: Vec<Vec<u8>> = items.map(String::into_bytes).collect();
             let has_more = rest.next().is_some();
-            json!({ "items": items, "has_more": has_more, "current_rev": state.revision })
+            let odd = state.odd_items.iter().filter(|odd| odd.kind == kind && after.is_empty());
+            items.splice(0..0, odd.map(|odd| odd.bytes.clone()));
+            let end = format!("],\"has_more\":{has_more},\"current_rev\":{}}}", state.revision);
+            [b"{\"items\":[", items.join(&b',').as_slice(), end.as_bytes()].concat()
         })
     }
 
     /// Changes of a kind after a revision; nothing if they are no longer kept.
-    fn events(&self, kind: &str, after: u64) -> Option<(Vec<Value>, u64)> {
+    fn events(&self, kind: &str, after: u64) -> Option<(Vec<Vec<u8>>, u64)> {
         self.with(|state| {
             let newer = state.events.iter().filter(|event| event.revision > after);
             let of_kind = newer.filter(|event| event.object.kind == kind);
-            let events = of_kind.map(
-                |event| json!({ "object": event.object.json(&event.name), "tombstone": event.is_removed }),
-            );
-            (after >= state.kept_since).then(|| (events.collect(), state.revision))
+            let events = of_kind.map(|event| {
+                let (object, is_removed) = (event.object.json(&event.name), event.is_removed);
+                format!("{{\"object\":{object},\"tombstone\":{is_removed}}}").into_bytes()
+            });
+            let odd = state.odd_items.iter().filter(|odd| odd.kind == kind && odd.revision > after);
+            let odd = odd.map(|odd| [b"{\"object\":", odd.bytes.as_slice(), b"}"].concat());
+            (after >= state.kept_since).then(|| (events.chain(odd).collect(), state.revision))
         })
     }
 }
 
 impl State {
     /// Stores or removes an object under a new revision.
-    fn change(&mut self, kind: &str, name: &str, mut object: Object, is_removed: bool) -> Value {
+    fn change(&mut self, kind: &str, name: &str, mut object: Object, is_removed: bool) -> String {
         self.revision += 1;
         object.revision = self.revision;
         let key = (kind.to_owned(), name.to_owned());
@@ -269,9 +294,9 @@
         self.objects.get(&(kind.to_owned(), name.to_owned()))
     }
 
-    fn create(&mut self, kind: &str, body: &Value) -> (StatusCode, Value) {
-        let Some(name) = body["metadata"]["name"].as_str() else {
-            return (StatusCode::BAD_REQUEST, Value::Null);
+    fn create(&mut self, kind: &str, body: &Written) -> (StatusCode, String) {
+        let Some(name) = body.metadata["name"].as_str() else {
+            return (StatusCode::BAD_REQUEST, String::new());
         };
         if let Some(found) = self.find(kind, name) {
             return (StatusCode::CONFLICT, found.json(name));
@@ -280,33 +305,33 @@
             kind: kind.to_owned(),
             revision: 0,
             created: self.revision + 1,
-            finalizers: body["metadata"]["finalizers"].clone(),
+            finalizers: body.metadata["finalizers"].clone(),
             is_deleting: false,
-            spec: body["spec"].clone(),
+            spec: body.spec.clone(),
             status: Value::Null,
         };
         (StatusCode::OK, self.change(kind, name, object, false))
     }
 
-    fn replace(&mut self, kind: &str, name: &str, body: &Value) -> (StatusCode, Value) {
+    fn replace(&mut self, kind: &str, name: &str, body: &Written) -> (StatusCode, String) {
         let Some(found) = self.find(kind, name) else {
-            return (StatusCode::NOT_FOUND, Value::Null);
+            return (StatusCode::NOT_FOUND, String::new());
         };
-        let expected = body["metadata"]["revision"].as_u64();
+        let expected = body.metadata["revision"].as_u64();
         if expected.is_some_and(|expected| expected != found.revision) {
             return (StatusCode::CONFLICT, found.json(name));
         }
         let mut object = found.clone();
-        object.spec = body["spec"].clone();
-        if object.spec == found.spec {
+        object.spec = body.spec.clone();
+        if object.spec.get() == found.spec.get() {
             return (StatusCode::OK, found.json(name));
         }
         (StatusCode::OK, self.change(kind, name, object, false))
     }
 
-    fn remove(&mut self, kind: &str, name: &str, expected: Option<u64>) -> (StatusCode, Value) {
+    fn remove(&mut self, kind: &str, name: &str, expected: Option<u64>) -> (StatusCode, String) {
         let Some(found) = self.find(kind, name) else {
-            return (StatusCode::NOT_FOUND, Value::Null);
+            return (StatusCode::NOT_FOUND, String::new());
         };
         if expected.is_some_and(|expected| expected != found.revision) {
             return (StatusCode::CONFLICT, found.json(name));
@@ -322,7 +347,7 @@
         return refused;
     }
     match store.with(|state| state.find(&kind, &name).map(|object| object.json(&name))) {
-        Some(object) => Json(object).into_response(),
+        Some(object) => json_response(StatusCode::OK, object),
         None => StatusCode::NOT_FOUND.into_response(),
     }
 }
@@ -350,7 +375,7 @@
     Query(query): Query<Parameters>,
     store: Data<&Store>,
 ) -> Response {
-    store.write("null", |state, _| state.remove(&kind, &name, query.revision)).await
+    store.write("{}", |state, _| state.remove(&kind, &name, query.revision)).await
 }
 
 impl Store {
@@ -358,7 +383,7 @@
     async fn write(
         &self,
         body: &str,
-        change: impl FnOnce(&mut State, &Value) -> (StatusCode, Value),
+        change: impl FnOnce(&mut State, &Written) -> (StatusCode, String),
     ) -> Response {
         if let Some(refused) = self.admit(true).await {
             return refused;
@@ -366,7 +391,7 @@
         if body.len() > MAX_VALUE {
             return StatusCode::PAYLOAD_TOO_LARGE.into_response();
         }
-        let Ok(body) = serde_json::from_str::<Value>(body) else {
+        let Ok(body) = serde_json::from_str::<Written>(body) else {
             return StatusCode::BAD_REQUEST.into_response();
         };
         let (status, object, lose) = self.with(|state| {
@@ -379,7 +404,7 @@
         if lose {
             std::future::pending::<()>().await;
         }
-        Response::builder().status(status).content_type("application/json").body(object.to_string())
+        json_response(status, object)
     }
 }
 
@@ -393,7 +418,7 @@
         return refused;
     }
     let Some(after) = query.watch else {
-        return Json(store.page(&kind, &query.after)).into_response();
+        return json_response(StatusCode::OK, store.page(&kind, &query.after));
     };
     store.with(|state| state.calls.watches += 1);
     let deadline = tokio::time::sleep(Duration::from_millis(query.wait_ms.min(LONGEST_WATCH_MS)));
@@ -410,7 +435,11 @@
             std::future::pending::<()>().await;
         }
         let is_empty = events.is_empty();
-        let answer = || Json(json!({ "events": events, "current_rev": revision })).into_response();
+        let answer = || {
+            let end = format!("],\"current_rev\":{revision}}}");
+            let body = [b"{\"events\":[", events.join(&b',').as_slice(), end.as_bytes()].concat();
+            json_response(StatusCode::OK, body)
+        };
         if !is_empty {
             return answer();
         }
@@ -421,6 +450,22 @@
     }
 }
 
+fn json_response(status: StatusCode, body: impl Into<Body>) -> Response {
+    Response::builder().status(status).content_type("application/json").body(body)
+}
+
+/// Adds an item that isn't an object to the listings and watches of a kind.
+#[handler]
+async fn add_odd_item(Path(kind): Path<String>, bytes: Vec<u8>, store: Data<&Store>) -> StatusCode {
+    store.with(|state| {
+        state.revision += 1;
+        let revision = state.revision;
+        state.odd_items.push(OddItem { kind, revision, bytes });
+    });
+    store.changed.notify_waiters();
+    StatusCode::OK
+}
+
 #[handler]
 async fn set_faults(Json(faults): Json<Faults>, store: Data<&Store>) -> StatusCode {
     store.with(|state| {
@@ -470,6 +515,7 @@
     let app = Route::new()
         .at("/v1/objects/:kind", get(list_or_watch).post(create))
         .at("/v1/objects/:kind/:name", get(read).put(replace).delete(remove))
+        .at("/_odd/:kind", poem::post(add_odd_item))
         .at("/_faults", poem::put(set_faults))
         .at("/_calls", get(calls))
         .at("/_door", poem::put(set_door))
