Send differences of the table from member to member, and watch the store by zones

Change: versions travel as differences (postcard, deflate; JSON for daemons that don't ask for them). Two members a zone fetch from the leader, the others from a member of their zone, six from each; one that can't fetch there asks the leader. Unchanged zones keep their revision. The leader and two daemons a zone watch the store, and whoever hears no leader for a second. Above 20 members the next table waits until four fifths know the last one, 700 ms at most. Keys are first divided once arrivals have stopped by their own rate, 4 s after the first at the latest. An entry that this process wrote last isn't read again before the next write.

--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -8,16 +8,28 @@
 use std::time::Duration;
 
 use cactushold_config::{Config, Router, Zone};
-use cactushold_ownership::{Table, Time};
+use cactushold_ownership::{HolderId, Table, Time};
 use cactushold_wire::schema::Document;
 use cactushold_wire::signal::KnownVersions;
 
 use crate::event::Event;
 use crate::fleet::{Fleet, publish};
-use crate::{clock, log, metric};
+use crate::{clock, log, metric, peer};
 
 /// Timeout of a fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Members of each zone that fetch from the leader. The others fetch from members of their own zone,
+/// so that a version crosses zones a few times, however many members there are.
+const DIRECT_PER_ZONE: usize = 2;
+/// Maximum number of members that fetch from the same member of their zone.
+const FANOUT: usize = 6;
+
+/// What another daemon sent of a document.
+enum Fetched {
+    Json(Vec<u8>),
+    /// Encoded differences of the table.
+    Differences(Vec<u8>),
+}
 
 /// Which documents are being fetched. Each is fetched by at most one task at a time.
 #[derive(Default)]
@@ -54,35 +66,104 @@
         }
         let fleet = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let fetched = tokio::time::timeout(FETCH_TIMEOUT, fleet.fetch(source, document)).await;
-            fleet.fetches.in_progress(document).set(false);
-            if let Ok(Some(content)) = fetched {
-                fleet.apply_document(document, &content);
+            let before = fleet.known_versions();
+            let neighbour = fleet.neighbour(source).filter(|neighbour| *neighbour != source);
+            for provider in neighbour.into_iter().chain([source]) {
+                let fetch = fleet.fetch(provider, document);
+                let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch).await;
+                if let Ok(Some(fetched)) = fetched {
+                    fleet.apply_document(document, fetched);
+                }
+                if fleet.known_versions() != before {
+                    break;
+                }
             }
+            fleet.fetches.in_progress(document).set(false);
         });
     }
 
-    async fn fetch(&self, source: SocketAddr, document: Document) -> Option<Vec<u8>> {
+    /// The member of the own zone from which this daemon fetches what the leader at `source` has;
+    /// `None` if it fetches from the leader itself.
+    fn neighbour(&self, source: SocketAddr) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        if Some(source) != table.leader_address {
+            return None;
+        }
+        let zone = &self.shared.instance.zone;
+        let others = table.members.iter().filter(|(_, member)| {
+            member.zone == *zone && Some(member.address) != table.leader_address
+        });
+        let others: Vec<(HolderId, SocketAddr)> =
+            others.map(|(id, member)| (*id, member.address)).collect();
+        let index = others.iter().position(|(id, _)| *id == self.id());
+        let provider = match index {
+            Some(index) => index.checked_sub(DIRECT_PER_ZONE)? / FANOUT,
+            // Not in the table yet: any member that was there before.
+            None if others.len() > DIRECT_PER_ZONE => fastrand::usize(..others.len()),
+            None => return None,
+        };
+        let (id, address) = others[provider];
+        (!self.silent_members.borrow().contains(&id)).then_some(address)
+    }
+
+    /// Whether this daemon is one of the few of its zone that watch the store for all.
+    pub(super) fn is_zone_watcher(&self) -> bool {
+        let table = self.table.borrow();
+        let zone = &self.shared.instance.zone;
+        let members = table.members.iter().filter(|(_, member)| member.zone == *zone);
+        members.take(DIRECT_PER_ZONE).any(|(id, _)| *id == self.id())
+    }
+
+    async fn fetch(&self, source: SocketAddr, document: Document) -> Option<Fetched> {
         let link = self.links.get(source).await.ok()?;
         let mut call = link.peer.fetch_request();
         call.get().set_document(document);
+        call.get().set_have(match document {
+            Document::Table => self.table.borrow().version,
+            Document::Config => self.config.borrow().version,
+        });
+        call.get().set_compact(true);
         let _call_guard = link.start();
         let results = call.send().promise.await.ok()?;
-        let content = results.get().ok()?.get_content().ok()?.to_vec();
+        let results = results.get().ok()?;
+        let content = results.get_content().ok()?;
         metrics::counter!(metric::FETCHED_BYTES).increment(content.len() as u64);
-        Some(content)
+        if content.is_empty() {
+            return None;
+        }
+        if !results.get_compact() {
+            return Some(Fetched::Json(content.to_vec()));
+        }
+        let content = peer::decompress(content)?;
+        Some(match document {
+            Document::Table => Fetched::Differences(content),
+            Document::Config => Fetched::Json(content),
+        })
     }
 
-    fn apply_document(self: &Rc<Self>, document: Document, content: &[u8]) {
-        let outcome = match document {
-            Document::Table => serde_json::from_slice(content).map(|table| self.apply_table(table)),
-            Document::Config => serde_json::from_slice(content).map(|config: Config| {
-                self.apply_zones(config.zones.clone(), config.zones_revision);
-                self.apply_config(config);
-            }),
+    fn apply_document(self: &Rc<Self>, document: Document, content: Fetched) {
+        let outcome = match (document, content) {
+            (Document::Table, Fetched::Differences(bytes)) => {
+                // Differences that don't fit any more are asked for again at the next datagram.
+                let next = cactushold_ownership::apply_encoded(&bytes, &self.table.borrow());
+                if let Some(table) = next {
+                    self.apply_table(table);
+                }
+                Ok(())
+            }
+            (Document::Table, Fetched::Json(text)) => serde_json::from_slice(&text)
+                .map(|table| self.apply_table(table))
+                .map_err(|error| error.to_string()),
+            (Document::Config, Fetched::Json(bytes) | Fetched::Differences(bytes)) => {
+                let config = serde_json::from_slice(&bytes).map_err(|error| error.to_string());
+                config.map(|config: Config| {
+                    self.apply_zones(config.zones.clone(), config.zones_revision);
+                    self.apply_config(config);
+                })
+            }
         };
-        if let Err(error) = outcome {
-            log!(warn, Event::Unreadable, what = ?document, reason = %error);
+        if let Err(reason) = outcome {
+            log!(warn, Event::Unreadable, what = ?document, reason);
         }
     }
 
@@ -97,6 +178,7 @@
             // Gives the new leader time to be heard before an election starts.
             self.leader_heard_at.set(now);
         }
+        Arc::make_mut(&mut self.history.borrow_mut()).record(&self.table.borrow(), &table);
         let table = Arc::new(table);
         *self.routing_table.borrow_mut() = Arc::new(publish::routing_table(&table));
         *self.table.borrow_mut() = Arc::clone(&table);
@@ -110,9 +192,7 @@
         self.shared.scores().retain(|id, _| table.members.contains_key(id));
         self.shared.forecasts().retain(|id, _| table.members.contains_key(id));
         self.step_down_if_replaced();
-        if self.id() == 0 {
-            self.entry_changed.notify_one();
-        }
+        self.first_table.notify_one();
         self.publish(now);
         self.heartbeat_due.notify_one();
     }
@@ -140,7 +220,9 @@
         revision: u64,
     ) {
         let mut config = (**self.config.borrow()).clone();
-        if revision <= config.zones_revision {
+        // Without a change the revision stays: a newer one would make all others fetch it.
+        let is_unchanged = config.zones == zones && config.zones_revision > 0;
+        if revision <= config.zones_revision || is_unchanged {
             return;
         }
         if config.zones != zones {
@@ -166,5 +248,8 @@
         }
         *self.config.borrow_mut() = Arc::new(config);
         self.publish(clock::now());
+        if self.is_leading() {
+            self.announce_versions();
+        }
     }
 }
--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -102,12 +102,20 @@
         }
     }
 
-    /// Reads the entry, and writes it if it is out of date. Returns whether it is up to date now.
+    /// Reads the entry unless this process wrote it last, and writes it if it is out of date. Returns
+    /// whether it is up to date now.
     async fn update_entry(self: &Rc<Self>) -> Result<bool, Error> {
         let key = Key { kind: ENTRY_KIND, name: &self.shared.instance.name };
-        let requested_at = clock::now();
-        let found = self.platform.get(key).await?;
-        self.record_contact(requested_at);
+        let written = self.written_entry.take();
+        let found = match written {
+            Some(object) => Some(object),
+            None => {
+                let requested_at = clock::now();
+                let found = self.platform.get(key).await?;
+                self.record_contact(requested_at);
+                found
+            }
+        };
         let desired = self.desired_entry();
         let stored = found.as_ref().and_then(|object| Entry::parse(object).ok());
         if let Some((id, entry)) = &stored
@@ -115,6 +123,7 @@
         {
             self.adopt_incarnation(*id, desired.incarnation.as_ref());
             if *entry == (Entry { id: entry.id, ..desired.clone() }) {
+                self.written_entry.replace(found);
                 return Ok(true);
             }
         }
@@ -129,7 +138,11 @@
             None => None,
         };
         if let Some(delay) = delay {
-            tokio::time::timeout(delay, self.entry_changed.notified()).await.ok();
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                () = self.entry_changed.notified() => {}
+                () = self.first_table.notified() => {}
+            }
             return Ok(false);
         }
         let registered = self.registered_incarnation(desired.incarnation.as_ref());
@@ -140,6 +153,9 @@
         let value = serde_json::to_string(&next).unwrap_or_default();
         match self.platform.put(key, &value, expected).await? {
             PutOutcome::Stored(revision) => {
+                let name = self.shared.instance.name.clone();
+                let object = Object { name, revision, value, is_deleting: false };
+                self.written_entry.replace(Some(object));
                 self.adopt_incarnation(next.id.unwrap_or(revision), next.incarnation.as_ref());
                 // The server may have reported another state in the meantime.
                 Ok(Entry { id: None, ..next } == self.desired_entry())
--- a/crates/daemon/src/fleet/heartbeat.rs
+++ b/crates/daemon/src/fleet/heartbeat.rs
@@ -43,6 +43,7 @@
         let heartbeat = Heartbeat {
             sent: now,
             term: self.table.borrow().term,
+            table: self.table.borrow().version,
             confirmation_age: self.confirmation_age(now),
             releases: releases.iter().map(|(release, _)| release.clone()).collect(),
             ended: self.ended_incarnations.borrow().clone(),
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -24,8 +24,8 @@
 
 use cactushold_config::{Config, Router};
 use cactushold_lease::Table as RoutingTable;
-use cactushold_ownership::{Holder, HolderId, Leader, Position, Table, Time};
-use cactushold_platform::Client;
+use cactushold_ownership::{History, Holder, HolderId, Leader, Position, Table, Time};
+use cactushold_platform::{Client, Object};
 use cactushold_wire::signal::KnownVersions;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
@@ -84,12 +84,18 @@
     last_end_check: Cell<Time>,
     /// What can't be read of the store's objects, by object.
     unreadable: RefCell<BTreeMap<&'static str, Vec<String>>>,
+    /// The last differences of the table, for members that are some versions behind.
+    history: RefCell<Arc<History>>,
     fetches: documents::Fetches,
     polls: RefCell<election::Polls>,
     /// Triggers a heartbeat before the interval is over.
     heartbeat_due: Notify,
     /// Triggers an update of the stored entry.
     entry_changed: Notify,
+    /// Signals that the first table is in force.
+    first_table: Notify,
+    /// The stored entry, if this process wrote it last.
+    written_entry: RefCell<Option<Object>>,
     /// Ends long watch requests to the store when this daemon becomes the leader.
     leadership_started: Notify,
 }
@@ -122,10 +128,13 @@
             zone_out_at: Cell::new(None),
             last_end_check: Cell::new(Time::ZERO),
             unreadable: RefCell::default(),
+            history: RefCell::default(),
             fetches: documents::Fetches::default(),
             polls: RefCell::default(),
             heartbeat_due: Notify::new(),
             entry_changed: Notify::new(),
+            first_table: Notify::new(),
+            written_entry: RefCell::default(),
             leadership_started: Notify::new(),
         }
     }
--- a/crates/daemon/src/fleet/publish.rs
+++ b/crates/daemon/src/fleet/publish.rs
@@ -107,6 +107,7 @@
             unresponsive: self.silent_members.borrow().clone(),
             next_report_at: running.map_or(Time::MAX, |running| self.next_report(running)),
             agreed_table: Some(Arc::clone(&table)),
+            history: Arc::clone(&self.history.borrow()),
             unreadable: Arc::new(self.unreadable.borrow().values().flatten().cloned().collect()),
             ..View::default()
         };
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -23,6 +23,11 @@
 /// change must be in force.
 const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time without an answer of the leader after which a daemon watches the store itself.
+const LEADER_SILENCE: Duration = Duration::from_secs(1);
+/// Time between two checks whether this daemon has to watch the store.
+const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A watch on one kind of objects, and the revision up to which it has read them.
 struct KindWatch {
     kind: &'static str,
@@ -46,6 +51,9 @@
     /// Waits until the store returns objects or changes of a kind. Errors are retried.
     async fn next_update(&self, watch: &mut KindWatch) -> Update {
         loop {
+            if watch.after.is_some() {
+                self.until_watcher().await;
+            }
             let requested_at = clock::now();
             match self.read_update(watch).await {
                 Ok(update) => {
@@ -67,6 +75,19 @@
         }
     }
 
+    /// Waits until this daemon has to watch the store itself. The leader and a few members of each
+    /// zone watch it, and the others hear of changes from them; a daemon that hears no leader
+    /// watches too.
+    async fn until_watcher(&self) {
+        loop {
+            let silence = clock::now().saturating_sub(self.leader_heard_at.get());
+            if self.is_leading() || self.is_zone_watcher() || silence > LEADER_SILENCE {
+                return;
+            }
+            tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn read_update(&self, watch: &mut KindWatch) -> Result<Update, Error> {
         match watch.after {
             None => {
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -9,5 +9,5 @@
 pub use self::{
     convert::{read_answer, read_estimate, write_request},
     link::{Link, Links},
-    server::{bucket_ownership, serve_body, serve_peers},
+    server::{bucket_ownership, decompress, serve_body, serve_peers},
 };
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -1,6 +1,7 @@
 //! Serves calls from other daemons.
 
 use std::cell::RefCell;
+use std::io::{Read as _, Write as _};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,13 @@
 /// Thousandths per unit: rates and tokens are sent in thousandths.
 const MILLI: f64 = 1_000.0;
 
+/// How long a fetch waits for a newer version to arrive here.
+const MAX_FETCH_WAIT: Duration = Duration::from_millis(400);
+/// How long the fetch of a configuration waits for a newer version: it is sent also without one,
+/// since its zones may be newer.
+const CONFIG_WAIT: Duration = Duration::from_millis(100);
+/// Time between two looks for it.
+const FETCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay after a failed accept, such as when no file descriptor is left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(5);
 
@@ -94,6 +102,61 @@
     }
 }
 
+impl Server {
+    /// Waits a moment until a document newer than version `have` is in force here: a daemon asks as
+    /// soon as it hears of it, possibly sooner than it has arrived here. Returns the version and the
+    /// compressed content, which is empty if there is nothing newer.
+    async fn newer_document(
+        &self,
+        document: Document,
+        have: u64,
+    ) -> Result<(u64, Vec<u8>), capnp::Error> {
+        let failed = |error: serde_json::Error| capnp::Error::failed(error.to_string());
+        let asked_at = clock::now();
+        loop {
+            let view = self.shared.view();
+            let (version, agreed) = match (document, &view.agreed_table) {
+                (Document::Table, Some(agreed)) => (agreed.version, Some(agreed)),
+                (Document::Table, None) => (view.table.version, None),
+                (Document::Config, _) => (view.config.version, None),
+            };
+            // The zones in a configuration have a revision of their own, which isn't asked with.
+            let is_due = document == Document::Config && clock::now() > asked_at + CONFIG_WAIT;
+            if version > have || is_due {
+                let content = match (document, agreed) {
+                    (Document::Table, Some(agreed)) => view.history.encode_since(have, agreed),
+                    (Document::Table, None) => serde_json::to_vec(&*view.table).map_err(failed)?,
+                    (Document::Config, _) => serde_json::to_vec(&*view.config).map_err(failed)?,
+                };
+                return Ok((version, compress(&content)));
+            }
+            if clock::now() > asked_at + MAX_FETCH_WAIT {
+                return Ok((version, Vec::new()));
+            }
+            tokio::time::sleep(FETCH_POLL_INTERVAL).await;
+        }
+    }
+}
+
+/// Maximum size of a document from another daemon, in bytes, so that a small message can't fill the
+/// memory.
+const MAX_DOCUMENT_BYTES: u64 = 32 << 20;
+
+fn compress(content: &[u8]) -> Vec<u8> {
+    let mut encoder = flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::fast());
+    // Writing to a `Vec` never fails.
+    encoder.write_all(content).ok();
+    encoder.finish().unwrap_or_default()
+}
+
+/// Decompresses a document from another daemon; `None` if it is malformed or too large.
+pub fn decompress(content: &[u8]) -> Option<Vec<u8>> {
+    let mut out = Vec::new();
+    let mut decoder = flate2::read::DeflateDecoder::new(content).take(MAX_DOCUMENT_BYTES + 1);
+    decoder.read_to_end(&mut out).ok()?;
+    (out.len() as u64 <= MAX_DOCUMENT_BYTES).then_some(out)
+}
+
 impl peer::Server for Server {
     async fn forward(
         self: Rc<Self>,
@@ -118,8 +181,18 @@
         params: peer::FetchParams,
         mut results: peer::FetchResults,
     ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let (document, have) = (params.get_document()?, params.get_have());
+        if params.get_compact() {
+            let (version, content) = self.newer_document(document, have).await?;
+            let mut out = results.get();
+            out.set_version(version);
+            out.set_content(&content);
+            out.set_compact(true);
+            return Ok(());
+        }
         let view = self.shared.view();
-        let (version, content) = match params.get()?.get_document()? {
+        let (version, content) = match document {
             Document::Table => match &view.agreed_table {
                 Some(agreed) => (agreed.version, serde_json::to_vec(&**agreed)),
                 None => (view.table.version, serde_json::to_vec(&*view.table)),
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,6 +15,7 @@
 use cactushold_config::settings::Instance;
 use cactushold_config::{Config, Router, Settings};
 use cactushold_lease::{Fence, Incarnation, SliceId, Table, TableVersion, Time};
+use cactushold_ownership::History;
 use cactushold_platform::Bounds;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -62,6 +63,8 @@
     pub next_report_at: Time,
     /// The table that the daemons agreed on through the store, in fleets that use one.
     pub agreed_table: Option<Arc<cactushold_ownership::Table>>,
+    /// The last differences of that table.
+    pub history: Arc<History>,
     /// Parts of the store's objects that this daemon can't read, each with the reason.
     pub unreadable: Arc<Vec<String>>,
 }
--- a/crates/ownership/src/leader.rs
+++ b/crates/ownership/src/leader.rs
@@ -1,12 +1,13 @@
 //! The leader's decisions: which leases it renews, and the next table.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use crate::plan::{PlanContext, ReportSchedule, Server, plan};
 use crate::{
     Heartbeat, HolderId, LEASE, Lessor, Member, Position, Range, Renewal, Sample, Table, Time,
-    Traffic, is_internal,
+    Traffic, Version, is_internal,
 };
 
 /// Revision of the table's object in the store.
@@ -32,12 +33,25 @@
 const CATCH_UP: Duration = Duration::from_millis(500);
 /// Minimum time between two searches for silent members.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a new announcement after which the keys of a service are divided among its servers.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// The keys of a service are divided among its servers after a time without a new announcement, as a
+/// multiple of the mean time between announcements.
+const SETTLE_GAPS: u32 = 6;
+/// Bounds of that time.
+const SETTLE_TIMES: RangeInclusive<Duration> =
+    Duration::from_millis(700)..=Duration::from_millis(1_500);
 /// Minimum time between two rounds of balancing. Within it the samples show the effect of the moves.
 const BALANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time before a table that changes only the members, for instances that all start at once.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(400);
+/// Fraction of the members that know the latest table from which the next one may be stored: under
+/// a flood of joins, tables get larger instead of more frequent.
+const INFORMED_FRACTION: f64 = 0.8;
+/// Time after which the next table may be stored however many members know the latest one.
+const MAX_INFORMING: Duration = Duration::from_millis(700);
+/// Number of members up to which tables are stored without waiting for members to know them.
+const SMALL_FLEET: usize = 20;
+/// Time from the first announcement after which keys are divided also while others arrive.
+const MAX_SETTLING: Duration = Duration::from_secs(4);
 /// Maximum number of silent members in one renewal, which has to fit into a datagram.
 const MAX_SILENT: usize = 64;
 
@@ -92,8 +106,12 @@
     announced: BTreeMap<String, (HolderId, Member)>,
     /// Whether `announced` stems from a complete listing.
     is_listed: bool,
+    /// When an incarnation was first announced to this leader.
+    first_announcement: Option<Time>,
     /// When an incarnation was last announced for the first time.
     last_new_announcement: Time,
+    /// Newest table that each member knows.
+    known_tables: BTreeMap<HolderId, Version>,
     samples: BTreeMap<HolderId, Sample>,
     /// When the next report of each member's server is due.
     next_reports: BTreeMap<HolderId, Time>,
@@ -130,7 +148,9 @@
             revision: Some(revision),
             announced: BTreeMap::new(),
             is_listed: false,
+            first_announcement: None,
             last_new_announcement: now,
+            known_tables: BTreeMap::new(),
             samples: BTreeMap::new(),
             next_reports: BTreeMap::new(),
             report_interval,
@@ -153,6 +173,7 @@
     /// Records the current incarnation that an instance announced.
     pub fn announce(&mut self, id: HolderId, member: Member, now: Time) {
         let instance = member.instance.clone();
+        self.first_announcement.get_or_insert(now);
         let before = self.announced.insert(instance, (id, member));
         if before.is_none_or(|(old, _)| old != id) {
             self.last_new_announcement = now;
@@ -198,6 +219,7 @@
         }
         self.ended.extend(heartbeat.ended);
         self.samples.insert(from, heartbeat.sample);
+        self.known_tables.insert(from, heartbeat.table);
         if let Some(left) = heartbeat.next_report_in {
             self.next_reports.insert(from, now + left);
         }
@@ -301,6 +323,7 @@
         self.released.retain(|(service, first, fence)| has_previous(service, *first, *fence));
         self.ended.retain(|id| table.members.contains_key(id));
         self.samples.retain(|id, _| table.members.contains_key(id));
+        self.known_tables.retain(|id, _| table.members.contains_key(id));
         self.next_reports.retain(|id, _| table.members.contains_key(id));
         self.lessor.retain(|id| table.members.contains_key(&id));
         self.heard.retain(|id, _| table.members.contains_key(id));
@@ -324,6 +347,9 @@
     ) -> Option<(Table, Revision)> {
         self.note_call(now);
         let revision = self.revision.filter(|_| self.is_listed && self.lessor.is_valid(now))?;
+        if !self.is_table_known(table, now) {
+            return None;
+        }
         let mut next = table.clone();
         next.version += 1;
         let members_changed = self.update_members(&mut next, now);
@@ -336,7 +362,7 @@
         let may_balance = now > self.last_balance + BALANCE_INTERVAL;
         for service in keyed {
             let is_divided = next.services.contains_key(service);
-            let is_settled = now >= self.last_new_announcement + SETTLE_TIME;
+            let is_settled = self.is_settled(now);
             if !is_divided && (next.has_unknown_holders || !is_settled) {
                 continue;
             }
@@ -362,6 +388,30 @@
         Some((next, revision))
     }
 
+    /// Whether instances have stopped arriving.
+    fn is_settled(&self, now: Time) -> bool {
+        let Some(first) = self.first_announcement else { return false };
+        let gaps = self.announced.len().saturating_sub(1).max(1) as u32;
+        let mean_gap = self.last_new_announcement.saturating_sub(first) / gaps;
+        let settle_time =
+            (mean_gap * SETTLE_GAPS).clamp(*SETTLE_TIMES.start(), *SETTLE_TIMES.end());
+        now >= self.last_new_announcement + settle_time || now >= first + MAX_SETTLING
+    }
+
+    /// Whether most members that are heard know the latest table, or have had the time to.
+    fn is_table_known(&self, table: &Table, now: Time) -> bool {
+        if now >= self.last_write + MAX_INFORMING || table.members.len() <= SMALL_FLEET {
+            return true;
+        }
+        let heard = table.members.keys().filter(|id| self.is_heard(**id));
+        let (mut count, mut informed) = (0, 0);
+        for id in heard {
+            count += 1;
+            informed += usize::from(self.known_tables.get(id) >= Some(&table.version));
+        }
+        informed as f64 >= f64::from(count) * INFORMED_FRACTION
+    }
+
     /// Replaces the table's members by those that are announced. Returns whether they changed.
     ///
     /// A member whose entry another writer removed or made unreadable stays until its lease has
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! All state machines here are pure: they do no I/O and take the current time as an argument.
 
+mod difference;
 mod holder;
 mod incarnation;
 mod leader;
@@ -17,6 +18,7 @@
 mod traffic;
 
 pub use crate::{
+    difference::{Difference, History, apply_encoded},
     holder::{Grant, Hold, Holder, Release, Report},
     incarnation::{Incarnation, Incarnations, LatestIncarnation, ReportOrder},
     leader::{Leader, Revision},
--- a/crates/ownership/src/message.rs
+++ b/crates/ownership/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{HolderId, Release, Sample, Term, Time};
+use crate::{HolderId, Release, Sample, Term, Time, Version};
 
 /// Sent by a member to the leader.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -11,6 +11,8 @@
     pub sent: Time,
     /// Newest term that the sender knows. It accepts no renewals from earlier terms.
     pub term: Term,
+    /// Newest version of the table that the sender knows.
+    pub table: Version,
     /// Time since the store confirmed to the sender that this term is current.
     pub confirmation_age: Option<Duration>,
     /// Ranges that the sender's server released.
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -177,7 +177,10 @@
 
 interface Peer {
   forward @0 (request :Request) -> (answer :Answer);
-  fetch @1 (document :Document) -> (version :UInt64, content :Data);
+  # The content is compact only if the caller asks for it: then the table comes as the differences
+  # since the version that the caller has, if these are kept, and nothing newer leaves it empty.
+  fetch @1 (document :Document, have :UInt64, compact :Bool)
+    -> (version :UInt64, content :Data, compact :Bool);
   patch @2 (content :Data) -> (outcome :Data);
   report @3 (content :Data) -> (accepted :Bool);
   # Records of a released slice; empty if it wasn't released.
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -8359,11 +8359,19 @@
             pub fn get_document(self) -> ::core::result::Result<crate::schema_capnp::Document,::capnp::NotInSchema> {
                 ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
             }
+            #[inline]
+            pub fn get_have(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_compact(self) -> bool {
+                self.reader.get_bool_field(16)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8421,6 +8429,22 @@
             pub fn set_document(&mut self, value: crate::schema_capnp::Document)  {
                 self.builder.set_data_field::<u16>(0, value as u16);
             }
+            #[inline]
+            pub fn get_have(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_have(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_compact(self) -> bool {
+                self.builder.get_bool_field(16)
+            }
+            #[inline]
+            pub fn set_compact(&mut self, value: bool)  {
+                self.builder.set_bool_field(16, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8432,31 +8456,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(110, 44, 139, 59, 215, 45, 60, 220),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
                 ::capnp::word(97, 112, 110, 112, 58, 80, 101, 101),
                 ::capnp::word(114, 46, 102, 101, 116, 99, 104, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 16, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
@@ -8466,10 +8504,28 @@
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 97, 118, 101, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 109, 112, 97, 99, 116, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::schema_capnp::Document as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8483,9 +8539,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
             pub(crate) const TYPE_ID: u64 = 0xdc3c_2dd7_3b8b_2c6e;
         }
     }
@@ -8563,11 +8619,15 @@
             pub fn has_content(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_compact(self) -> bool {
+                self.reader.get_bool_field(64)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8641,6 +8701,14 @@
             pub fn has_content(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_compact(self) -> bool {
+                self.builder.get_bool_field(64)
+            }
+            #[inline]
+            pub fn set_compact(&mut self, value: bool)  {
+                self.builder.set_bool_field(64, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8652,38 +8720,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(122, 162, 7, 72, 244, 89, 162, 130),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
                 ::capnp::word(97, 112, 110, 112, 58, 80, 101, 101),
                 ::capnp::word(114, 46, 102, 101, 116, 99, 104, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8700,11 +8775,20 @@
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 109, 112, 97, 99, 116, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8718,9 +8802,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
             pub(crate) const TYPE_ID: u64 = 0x82a2_59f4_4807_a27a;
         }
     }
--- a/crates/wire/src/signal.rs
+++ b/crates/wire/src/signal.rs
@@ -110,7 +110,7 @@
         };
         let content = match root.get_body().which().map_err(|_| Error::Unknown)? {
             signal::body::Heartbeat(heartbeat) => {
-                Content::Heartbeat(read_heartbeat(heartbeat?, known.term)?)
+                Content::Heartbeat(read_heartbeat(heartbeat?, known)?)
             }
             signal::body::Renewal(renewal) => Content::Renewal(read_renewal(renewal?)?),
             signal::body::Poll(echo) => Content::Poll(echo),
@@ -157,14 +157,15 @@
     out.set_positions(heartbeat.sample.positions.as_slice()).ok();
 }
 
-fn read_heartbeat(reader: heartbeat::Reader<'_>, term: Term) -> Result<Heartbeat, Error> {
+fn read_heartbeat(reader: heartbeat::Reader<'_>, known: KnownVersions) -> Result<Heartbeat, Error> {
     let mut releases = Vec::new();
     for entry in reader.get_releases()? {
         releases.push(read_release(entry)?);
     }
     Ok(Heartbeat {
         sent: Time::from_micros(reader.get_sent_us()),
-        term,
+        term: known.term,
+        table: known.table,
         confirmation_age: read_millis(reader.get_word_age_ms()),
         releases,
         ended: reader.get_ended()?.iter().collect(),
