--- a/crates/daemon/src/guard/sampler.rs
+++ b/crates/daemon/src/guard/sampler.rs
@@ -10,6 +10,8 @@
 const SAMPLE_WINDOW: Duration = Duration::from_millis(1_200);
 /// Time constant of the average load; as long as a few typical runs.
 const PRESSURE_TIME_CONSTANT: Duration = Duration::from_millis(700);
+/// Load that a refusal for lack of room stands for, at least: all slots in use.
+const PRESSURE_OF_REFUSAL: f64 = 1.0;
 /// Maximum number of requests kept; the oldest are dropped first.
 const MAX_SAMPLES: usize = 4_096;
 
@@ -60,6 +62,12 @@
         self.mean += weight * (load - self.mean);
     }
 
+    /// Records that a request was refused for lack of room. In short bursts a server refuses requests
+    /// although its average load is low, and giving away keys is what makes room.
+    pub(super) fn note_refusal(&mut self) {
+        self.mean = self.mean.max(PRESSURE_OF_REFUSAL);
+    }
+
     /// The average load; above 1 if requests wait.
     pub(super) fn mean(&self) -> f64 {
         self.mean
--- a/crates/daemon/src/guard/table.rs
+++ b/crates/daemon/src/guard/table.rs
@@ -179,9 +179,13 @@
         let load = self.controller.load(now);
         match self.controller.submit(admission_request, now) {
             AdmissionDecision::Admitted => Ok(Admission::Admitted),
-            AdmissionDecision::Refused(rejection) => Err(refusal_of(rejection, load)),
+            AdmissionDecision::Refused(rejection) => {
+                self.pressure.note_refusal();
+                Err(refusal_of(rejection, load))
+            }
             AdmissionDecision::Queued(ticket, evicted) => {
                 if let Some(evicted) = evicted {
+                    self.pressure.note_refusal();
                     self.notify(evicted, Err(refusal_of(Rejection::Full, load)));
                 }
                 let (sender, receiver) = oneshot::channel();
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod cut_answers;
 mod cuts;
 mod departures;
+mod downloads;
 mod endless;
 mod kept_connections;
 mod grace;
