--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -18,7 +18,12 @@
 
 /// Timeout of a fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Members of each zone that fetch from the leader. The others fetch from members of their own zone,
+/// Timeout of a fetch from a member of the own zone, after which the leader is asked. Together they
+/// leave time until a configuration has to be in force.
+const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(400);
+/// Members of each zone that watch the store for all.
+const WATCHERS_PER_ZONE: usize = 2;
+/// Members of each zone that fetch from the leader, in zones with more than [`FANOUT`]. The others fetch from members of their own zone,
 /// so that a version crosses zones a few times, however many members there are.
 const DIRECT_PER_ZONE: usize = 2;
 /// Maximum number of members that fetch from the same member of their zone.
@@ -68,9 +73,10 @@
         tokio::task::spawn_local(async move {
             let before = fleet.known_versions();
             let neighbour = fleet.neighbour(source).filter(|neighbour| *neighbour != source);
-            for provider in neighbour.into_iter().chain([source]) {
+            let neighbour = neighbour.map(|neighbour| (neighbour, NEIGHBOUR_TIMEOUT));
+            for (provider, timeout) in neighbour.into_iter().chain([(source, FETCH_TIMEOUT)]) {
                 let fetch = fleet.fetch(provider, document);
-                let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetch).await;
+                let fetched = tokio::time::timeout(timeout, fetch).await;
                 if let Ok(Some(fetched)) = fetched {
                     fleet.apply_document(document, fetched);
                 }
@@ -95,12 +101,14 @@
         });
         let others: Vec<(HolderId, SocketAddr)> =
             others.map(|(id, member)| (*id, member.address)).collect();
+        if others.len() <= FANOUT {
+            return None;
+        }
         let index = others.iter().position(|(id, _)| *id == self.id());
         let provider = match index {
             Some(index) => index.checked_sub(DIRECT_PER_ZONE)? / FANOUT,
             // Not in the table yet: any member that was there before.
-            None if others.len() > DIRECT_PER_ZONE => fastrand::usize(..others.len()),
-            None => return None,
+            None => fastrand::usize(..others.len()),
         };
         let (id, address) = others[provider];
         (!self.silent_members.borrow().contains(&id)).then_some(address)
@@ -111,7 +119,7 @@
         let table = self.table.borrow();
         let zone = &self.shared.instance.zone;
         let members = table.members.iter().filter(|(_, member)| member.zone == *zone);
-        members.take(DIRECT_PER_ZONE).any(|(id, _)| *id == self.id())
+        members.take(WATCHERS_PER_ZONE).any(|(id, _)| *id == self.id())
     }
 
     async fn fetch(&self, source: SocketAddr, document: Document) -> Option<Fetched> {
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -27,7 +27,7 @@
 const MILLI: f64 = 1_000.0;
 
 /// How long a fetch waits for a newer version to arrive here.
-const MAX_FETCH_WAIT: Duration = Duration::from_millis(400);
+const MAX_FETCH_WAIT: Duration = Duration::from_millis(250);
 /// How long the fetch of a configuration waits for a newer version: it is sent also without one,
 /// since its zones may be newer.
 const CONFIG_WAIT: Duration = Duration::from_millis(100);
