--- a/crates/daemon/tests/platform/downloads.rs
+++ b/crates/daemon/tests/platform/downloads.rs
@@ -193,7 +193,7 @@
     let choose = |request: &str| {
         let path = request.split(' ').nth(1)?;
         let start = format!("{}content-length: 9000000000\r\n\r\n", head(request)?);
-        (path == "/file/endless").then(|| Flood { start, repeated: "abcdefgh", is_slow: false })
+        (path == "/file/endless").then_some(Flood { start, repeated: "abcdefgh", is_slow: false })
     };
     let proxy = environment.add_flooding("files-1", "a", "files", choose).await;
     environment.add_reporting("calm-1", "b", "calm").await;
