Take over the revision of zones that are the same

Cause, found by reading: since unchanged zones keep their revision, a daemon that had read the same zones at a later revision was asked for its configuration with each datagram, for good.

Change: the revision of the same zones is taken over from the other daemon.

--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -166,6 +166,7 @@
                 let config = serde_json::from_slice(&bytes).map_err(|error| error.to_string());
                 config.map(|config: Config| {
                     self.apply_zones(config.zones.clone(), config.zones_revision);
+                    self.adopt_zones_revision(config.zones_revision);
                     self.apply_config(config);
                 })
             }
@@ -249,6 +250,15 @@
         self.replace_config(config);
     }
 
+    /// Takes over the revision of the same zones from another daemon, which would be asked for them
+    /// again otherwise.
+    fn adopt_zones_revision(&self, revision: u64) {
+        let mut config = self.config.borrow_mut();
+        if revision > config.zones_revision {
+            Arc::make_mut(&mut config).zones_revision = revision;
+        }
+    }
+
     fn replace_config(&self, config: Config) {
         let service = config.services.get(&self.shared.instance.service);
         if let Some(service) = service {
--- a/crates/daemon/tests/platform/configuration.rs
+++ b/crates/daemon/tests/platform/configuration.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use cactushold_standin::environment::Environment;
+use hyper::Method;
 use serde_json::json;
 
-use crate::cases::{RULING, ask, config, deployment, lookup, until};
+use crate::cases::{RULING, ask, config, deployment, leader, lookup, until};
 
 /// Time after a disturbance of the store from which bounds hold again.
 const STABLE: Duration = Duration::from_secs(3);
+/// Time within which a leader's watch ends.
+const WATCH: Duration = Duration::from_millis(1_600);
 /// Time within which a change has to be in force.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
@@ -34,6 +38,39 @@
     }
 }
 
+/// Bytes of documents that all daemons fetched from each other.
+async fn fetched(environment: &Environment) -> f64 {
+    let mut sum = 0.0;
+    for daemon in &environment.daemons {
+        let call = environment.http.send(Method::GET, daemon.admin, "/metrics", &[], "");
+        let text = call.await.expect("metrics").body;
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let line =
+            text.lines().find_map(|line| line.strip_prefix("cactushold_fetched_bytes_total "));
+        sum += line.and_then(|value| value.parse::<f64>().ok()).unwrap_or_default();
+    }
+    sum
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_fetch_nothing_from_each_other_while_nothing_changes() {
+    let mut environment = deployment().await;
+    // It reads the same zones at a later revision than the others.
+    let leader = leader(&environment).await;
+    environment.restart((leader + 1) % 5);
+    // Changes of the store that concern no document, after each of which the leader's watch ends.
+    for round in 0..4 {
+        environment.store("other", "object", &json!({ "round": round })).await;
+        tokio::time::sleep(WATCH).await;
+    }
+    let before = fetched(&environment).await;
+    for round in 0..4 {
+        environment.store("other", "object", &json!({ "later": round })).await;
+        tokio::time::sleep(WATCH).await;
+    }
+    assert_eq!(fetched(&environment).await, before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unreadable_configuration_changes_nothing() {
     let environment = deployment().await;
