Ask for downloads with the time limit of their route

The answers were cut at the caller's own limit, visibly, as they should be.

Change: downloads ask with 20 s, their route's timeout. No bound changes.

--- a/crates/daemon/tests/platform/downloads.rs
+++ b/crates/daemon/tests/platform/downloads.rs
@@ -6,7 +6,9 @@
 
 use cactushold_standin::environment::Environment;
 use cactushold_standin::flood::Flood;
+use cactushold_standin::http::Answer;
 use cactushold_standin::script::{Action, Proxy};
+use hyper::Method;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -16,6 +18,8 @@
 
 /// Size of an answer; several times the memory that a daemon may need for it.
 const BYTES: usize = 48 << 20;
+/// Time limit of a download, in milliseconds, which is also its route's.
+const DEADLINE_MS: &str = "20000";
 /// Downloads at a time.
 const CONCURRENT: usize = 4;
 /// Memory that a daemon may need for all of them, in KiB.
@@ -115,19 +119,35 @@
     environment.daemons.iter().map(|daemon| peak(daemon.pid())).collect()
 }
 
+/// The last lines of each daemon's log.
+fn logs(environment: &Environment) -> String {
+    let tail = |log: Vec<String>| log[log.len().saturating_sub(12)..].join("\n");
+    let logs = environment.daemons.iter().map(|daemon| tail(daemon.log()));
+    logs.collect::<Vec<_>>().join("\n\n")
+}
+
 fn assert_bounded(environment: &Environment, before: &[u64]) {
     for (before, after) in before.iter().zip(peaks(environment)) {
         assert!(after - before < MEMORY_KIB, "{before} KiB before, {after} KiB after");
     }
 }
 
+/// Asks for a whole file, with the time limit of its route.
+async fn download(environment: &Environment, entry: usize, path: &str) -> Result<Answer, String> {
+    let attempt = format!("{:016x}", fastrand::u64(..));
+    let headers =
+        [("host", "words.example"), ("attempt-id", attempt.as_str()), ("deadline-ms", DEADLINE_MS)];
+    let address = environment.daemons[entry].callers;
+    environment.http.send(Method::GET, address, path, &headers, "").await
+}
+
 /// Asks for a file and returns the connection without reading the answer.
 async fn start(address: SocketAddr, path: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.expect("connects");
     let attempt = fastrand::u64(..);
     let request = format!(
         "GET {path} HTTP/1.1\r\nhost: words.example\r\nattempt-id: {attempt:016x}\r\n\
-         deadline-ms: 20000\r\n\r\n"
+         deadline-ms: {DEADLINE_MS}\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.expect("sends");
     stream
@@ -140,9 +160,10 @@
     let before = peaks(&environment);
     for path in ["/file/whole", "/file/chunked"] {
         // The other daemon's callers: each answer passes through both.
-        let downloads = (0..CONCURRENT).map(|_| ask(&environment, 1, get(path)));
+        let downloads = (0..CONCURRENT).map(|_| download(&environment, 1, path));
         for answer in futures::future::join_all(downloads).await {
-            let answer = answer.expect("a whole answer");
+            let answer =
+                answer.unwrap_or_else(|error| panic!("{path}: {error}\n{}", logs(&environment)));
             assert_eq!(answer.status, 200);
             assert!(answer.body == expected, "{path}: {} bytes", answer.body.len());
         }
@@ -155,7 +176,7 @@
     let (environment, _proxy) = deployment().await;
     for path in ["/file/cut", "/file/reset"] {
         for entry in 0..2 {
-            let answer = ask(&environment, entry, get(path)).await;
+            let answer = download(&environment, entry, path).await;
             assert!(answer.is_err(), "{path}: {:?}", answer.map(|answer| answer.body.len()));
         }
     }
