--- a/crates/ownership/tests/search.rs
+++ b/crates/ownership/tests/search.rs
@@ -19,12 +19,12 @@
 /// as well has expired 11.6 s later.
 const REFUSED_LEADER_LIMIT: Duration = Duration::from_secs(25);
 
-/// Time by which keys are served later if the table was lost: until the leases of all earlier
-/// leaders have expired, no key is divided.
+/// Time by which keys are served later if their holders are unknown when the faults stop, because the
+/// table was lost: until the leases of all earlier leaders have expired, no key is divided.
 const LOST_TABLE_DELAY: Duration = Duration::from_secs(12);
 
 fn limit(usual: Duration, simulation: &Simulation) -> Duration {
-    if simulation.has_lost_table() { usual + LOST_TABLE_DELAY } else { usual }
+    if simulation.are_holders_unknown() { usual + LOST_TABLE_DELAY } else { usual }
 }
 
 fn env_number(name: &str, default: u64) -> u64 {
--- a/crates/ownership/tests/simulation/mod.rs
+++ b/crates/ownership/tests/simulation/mod.rs
@@ -77,8 +77,6 @@
     store_refuses_until: Vec<Time>,
     /// Whether each daemon's zone is out.
     zones_out: Vec<bool>,
-    /// Whether another writer has made the table unreadable.
-    has_lost_table: bool,
     queue: BinaryHeap<Reverse<Due>>,
     event_count: u64,
     process_count: u64,
@@ -118,7 +116,6 @@
             store: Store::default(),
             store_refuses_until: vec![Time::ZERO; DAEMONS],
             zones_out: vec![false; DAEMONS],
-            has_lost_table: false,
             random,
             mutation,
             queue: BinaryHeap::new(),
@@ -183,9 +180,10 @@
         Ok(())
     }
 
-    /// Whether another writer made the table unreadable at any time.
-    pub fn has_lost_table(&self) -> bool {
-        self.has_lost_table
+    /// Whether the stored table can't be read, or doesn't tell who may hold keys.
+    pub fn are_holders_unknown(&self) -> bool {
+        let (_, table) = self.store.read();
+        table.is_none_or(|table| table.has_unknown_holders)
     }
 
     /// Stops all faults and runs until every key has a server. Returns how long that took; `None` if
@@ -280,10 +278,7 @@
                 self.schedule(self.now + delay, Event::StartServer(index));
             }
             6 => self.store.disturb(self.now + span, &mut self.random),
-            10 if self.random.u32(..3) == 0 => {
-                self.store.garble_table();
-                self.has_lost_table = true;
-            }
+            10 if self.random.u32(..3) == 0 => self.store.garble_table(),
             10 | 11 => self.store.remove_entry(index),
             7 => self.zones_out[index] = !self.zones_out[index],
             8 => {
