--- a/review/stand/app.rs
+++ b/review/stand/app.rs
@@ -1,8 +1,8 @@
 //! An application server: runs requests, holds keys, reports its liveness.
 
-use std::io::BufReader;
+use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -15,6 +15,10 @@
 /// Time until the next report while keys that are to be released are still in work.
 const RELEASE: Duration = Duration::from_millis(100);
 pub const SLOTS: usize = 12;
+/// Bytes of a large answer.
+const LARGE: usize = 200_000;
+/// Time that a large answer takes.
+const LARGE_WORK: Duration = Duration::from_millis(300);
 
 #[derive(Clone, Debug)]
 pub struct Hold {
@@ -54,6 +58,8 @@
     is_sharded: bool,
     state: Mutex<State>,
     is_ended: AtomicBool,
+    /// Answers that break off, from the next large one on.
+    cuts: AtomicU64,
     record: Record,
 }
 
@@ -87,6 +93,7 @@
             is_sharded,
             state: Mutex::default(),
             is_ended: AtomicBool::new(false),
+            cuts: AtomicU64::new(0),
             record: record.clone(),
         });
         let server = Arc::clone(&app);
@@ -163,11 +170,26 @@
                 out.shutdown(Shutdown::Both).ok();
                 return Ok(());
             }
+            let is_large = body.len() >= LARGE;
+            if is_large && self.cuts.load(Ordering::Relaxed) > 0 {
+                self.cuts.fetch_sub(1, Ordering::Relaxed);
+                let mut whole = Vec::new();
+                http::compose(&mut whole, first, &headers, body.as_bytes());
+                out.write_all(&whole[..whole.len() * 3 / 4])?;
+                self.record.line(&format!("server {} breaks an answer off", self.id));
+                out.shutdown(Shutdown::Both).ok();
+                return Ok(());
+            }
             http::write(&mut out, first, &headers, body.as_bytes())?;
         }
         Ok(())
     }
 
+    /// Has the next large answers break off.
+    pub fn cut(&self, answers: u64) {
+        self.cuts.store(answers, Ordering::Relaxed);
+    }
+
     fn answer(&self, request: &Message) -> (&'static str, Vec<(&'static str, String)>, String) {
         let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
         if request.first[1] == "/healthz" {
@@ -200,7 +222,8 @@
             state.running.len()
         };
         self.record.line(&format!("server {} runs {attempt} key {key:?}", self.id));
-        std::thread::sleep(self.work);
+        let is_large = request.first[1].ends_with("/large");
+        std::thread::sleep(if is_large { LARGE_WORK } else { self.work });
         {
             let mut state = self.state.lock().unwrap();
             if let Some(index) = state.running.iter().position(|found| *found == key) {
@@ -213,7 +236,10 @@
             ("Server-Load", format!("{load},0,{SLOTS},100")),
             ("Keep-Alive", "timeout=10".to_owned()),
         ];
-        let body = format!("{} {} {}", request.first[0], request.first[1], request.body.len());
+        let mut body = format!("{} {} {}", request.first[0], request.first[1], request.body.len());
+        if is_large {
+            body.push_str(&"x".repeat(LARGE));
+        }
         ("HTTP/1.1 200 OK", headers, body)
     }
 
--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -84,19 +84,25 @@
     Ok(Some(message))
 }
 
-/// Writes a request or an answer with a body of known length.
+/// Puts a request or an answer with a body of known length together.
+pub fn compose(out: &mut Vec<u8>, first: &str, headers: &[(&str, String)], body: &[u8]) {
+    out.extend(format!("{first}\r\n").as_bytes());
+    for (name, value) in headers {
+        out.extend(format!("{name}: {value}\r\n").as_bytes());
+    }
+    out.extend(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+    out.extend(body);
+}
+
+/// Writes a request or an answer.
 pub fn write(
     stream: &mut TcpStream,
     first: &str,
     headers: &[(&str, String)],
     body: &[u8],
 ) -> Result<()> {
-    let mut out = format!("{first}\r\n").into_bytes();
-    for (name, value) in headers {
-        out.extend(format!("{name}: {value}\r\n").as_bytes());
-    }
-    out.extend(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
-    out.extend(body);
+    let mut out = Vec::new();
+    compose(&mut out, first, headers, body);
     stream.write_all(&out)
 }
 
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,6 +8,9 @@
 mod store;
 mod world;
 
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use crate::json::Json;
@@ -41,6 +44,7 @@
             "odd-report" => odd_report(record, has_trouble),
             "left-server" => left_server(record, has_trouble),
             "odd-entry" => odd_entry(record, has_trouble),
+            "cut-pipeline" => cut_pipeline(record, has_trouble),
             "large-bodies" => large_bodies(record, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
         }
@@ -283,3 +287,93 @@
     ));
     Ok(if late.is_empty() { HELD } else { BROKEN })
 }
+
+/// Requests that are sent behind the first one on its connection.
+const BEHIND: usize = 7;
+/// Requests that a machine may leave without an answer (RULES.md, LOST).
+const LEFT: usize = 3;
+
+/// A client sends further requests before the first one is answered; the answer to the first one
+/// breaks off.
+fn cut_pipeline(record: Record, has_trouble: bool) -> std::io::Result<i32> {
+    let world = World::start(record, 1 << 20, Duration::from_millis(30))?;
+    if !world.until_served(START) {
+        world.record.say("the deployment didn't come up");
+        return Ok(NOT_RUN);
+    }
+    let record = &world.record;
+    let target = world.nodes[3].callers();
+    let mut stream = TcpStream::connect(target)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(4)))?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    let request = |path: &str, attempt: &str, key: u16| {
+        let headers = [
+            ("Host", "words.example".to_owned()),
+            ("Attempt-Id", attempt.to_owned()),
+            ("Deadline-Ms", "2500".to_owned()),
+            ("X-Api-Key", "key-of-club".to_owned()),
+            ("Shard-Key", key.to_string()),
+        ];
+        let mut out = Vec::new();
+        http::compose(&mut out, &format!("GET {path} HTTP/1.1"), &headers, b"");
+        record.line(&format!("client sends GET {path} {attempt}"));
+        out
+    };
+    // The connection is a kept one: it has carried requests before.
+    for key in [7, 30_000, 60_000] {
+        let attempt = world.attempt();
+        stream.write_all(&request("/lookup/w", &attempt, key))?;
+        let answer = http::read(&mut reader, true)?;
+        record.line(&format!("client gets {:?} for {attempt}", answer.map(|a| a.status())));
+    }
+    if has_trouble {
+        world.nodes.iter().skip(6).for_each(|node| node.app.cut(1));
+    }
+    let mut bytes = Vec::new();
+    let first = world.attempt();
+    bytes.extend(request("/browse/large", &first, 0));
+    let mut behind = BTreeMap::new();
+    for number in 0..BEHIND {
+        let attempt = world.attempt();
+        bytes.extend(request("/lookup/w", &attempt, (number * 9_000) as u16));
+        behind.insert(attempt, 0);
+    }
+    stream.write_all(&bytes)?;
+    loop {
+        match http::read(&mut reader, true) {
+            Ok(Some(answer)) => {
+                let attempt = answer.header("attempt-id").unwrap_or_default().to_owned();
+                record.line(&format!("client gets {} for {attempt}", answer.status()));
+                if let Some(status) = behind.get_mut(&attempt) {
+                    *status = answer.status();
+                }
+                if behind.values().all(|status| *status != 0) {
+                    break;
+                }
+            }
+            Ok(None) => {
+                record.say("the daemon closed the connection");
+                break;
+            }
+            Err(error) => {
+                record.say(&format!("the answer to {first} ended early: {error}"));
+                break;
+            }
+        }
+    }
+    secs(1.0);
+    let runs: Vec<String> = world
+        .nodes
+        .iter()
+        .take(3)
+        .flat_map(|node| node.app.runs())
+        .map(|run| run.attempt)
+        .collect();
+    let left = behind.iter().filter(|(attempt, status)| **status == 0 && runs.contains(attempt)).count();
+    record.say(&format!(
+        "{left} of {BEHIND} requests behind it were run by sound servers, and their connection was \
+         closed without an answer"
+    ));
+    Ok(if left > LEFT { BROKEN } else { HELD })
+}
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -147,10 +147,11 @@
          \"max_body_bytes\":{max_body},\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}},\
          \"tenants\":[{{\"name\":\"club\",\"api_keys\":[\"key-of-club\"],\"priority\":1,\
          \"rate_per_s\":0,\"burst\":0}}],\
-         \"listeners\":[{{\"host\":\"words.example\",\"rules\":[{},{},{}]}}],\
+         \"listeners\":[{{\"host\":\"words.example\",\"rules\":[{},{},{},{}]}}],\
          \"clusters\":[{},{},{}]}}",
         rule("/lookup/", "idempotent", "lexicon", "1200ms", false),
         rule("/ruling/", "non_idempotent", "arbiter", "1500ms", false),
+        rule("/browse/", "idempotent", "ledger", "2500ms", false),
         rule("/entry/", "non_idempotent", "ledger", "2500ms", false),
         cluster("lexicon", ",\"sharded\":true,\"warmup\":\"3s\",\"grants\":\"heartbeat\""),
         cluster("arbiter", ""),
