Keep the departure of a server over restarts of its daemon

Cause: the entry's 'serves: false' doesn't tell the server's departure from the daemon's own shutdown, and the next process, told 'ready' by the first report, wrote 'serves: true' over it; the acknowledgement didn't wait for the write either. Ruled out: older tables at other daemons, since the server's own daemon refuses what comes.

Change: the entry lists departures (name and start); the next process takes them over, and passes nothing to its server before it has read the entry. A departure is acknowledged once it is stored, else 503 after 0.8 s.

--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactushold_ownership::{Holder, HolderId, Incarnation, LEASE, MAX_CLOCK_DRIFT, Member, Time};
+use cactushold_ownership::{
+    Departure, Departures, Holder, HolderId, Incarnation, LEASE, MAX_CLOCK_DRIFT, Member, Time,
+};
 use cactushold_platform::{Backoff, Error, Key, Object, Precondition, PutOutcome};
 
 use crate::event::Event;
@@ -36,6 +38,9 @@
     /// Whether the incarnation has ended and holds no keys.
     #[serde(default)]
     pub has_ended: bool,
+    /// Servers of this instance that announced that they leave.
+    #[serde(default, skip_serializing_if = "Departures::is_empty")]
+    pub departures: Departures,
     /// Identity of the incarnation. It is the revision of the write that created the entry, so that
     /// write itself carries none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -116,8 +121,12 @@
                 found
             }
         };
-        let desired = self.desired_entry();
         let stored = found.as_ref().and_then(|object| Entry::parse(object).ok());
+        if let Some((_, entry)) = &stored {
+            self.restore_departures(&entry.departures);
+        }
+        self.knows_departures.set(true);
+        let desired = self.desired_entry();
         if let Some((id, entry)) = &stored
             && entry.incarnation == desired.incarnation
         {
@@ -156,6 +165,7 @@
                 let name = self.shared.instance.name.clone();
                 let object = Object { name, revision, value, is_deleting: false };
                 self.written_entry.replace(Some(object));
+                self.stored_departures.send_replace(next.departures.clone());
                 self.adopt_incarnation(next.id.unwrap_or(revision), next.incarnation.as_ref());
                 // The server may have reported another state in the meantime.
                 Ok(Entry { id: None, ..next } == self.desired_entry())
@@ -204,10 +214,30 @@
             incarnation: latest.map(|latest| latest.incarnation.clone()),
             serves: !self.shared.is_leaving() && server.is_ready,
             has_ended: latest.is_some_and(|latest| latest.has_ended),
+            departures: server.departures.clone(),
             id: None,
         }
     }
 
+    /// Takes over what the entry says of servers that leave. The one that runs may have announced it
+    /// any time before, so it gets no more requests at once.
+    fn restore_departures(&self, stored: &Departures) {
+        self.stored_departures.send_replace(stored.clone());
+        let mut server = self.server.borrow_mut();
+        if server.restore_departures(stored) {
+            log!(info, Event::ServerLeaving, server = server.name());
+            self.shared.guard().mark_server_leaving(Time::ZERO);
+        }
+    }
+
+    /// Waits until the entry in the store says that a server leaves. Returns false if it doesn't
+    /// within the time in which the server awaits the acknowledgement.
+    pub(super) async fn has_stored(&self, departure: &Departure) -> bool {
+        let mut stored = self.stored_departures.subscribe();
+        let is_stored = stored.wait_for(|stored| stored.contains(departure));
+        matches!(tokio::time::timeout(STORE_TIMEOUT, is_stored).await, Ok(Ok(_)))
+    }
+
     /// Represents an incarnation from now on, unless the server has been replaced in the meantime.
     fn adopt_incarnation(self: &Rc<Self>, id: HolderId, incarnation: Option<&Incarnation>) {
         let is_current =
@@ -233,5 +263,7 @@
 /// Report intervals after the daemon's start within which a running server reports. After them, the
 /// daemon takes the server for absent.
 const FIRST_REPORT_INTERVALS: f64 = 1.5;
+/// Timeout for storing a departure. Servers take an acknowledgement that arrives within a second.
+const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between the two refused connections that show that a server has ended.
 pub(super) const RECHECK_DELAY: Duration = Duration::from_millis(30);
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -24,11 +24,11 @@
 
 use cactushold_config::{Config, Router};
 use cactushold_lease::Table as RoutingTable;
-use cactushold_ownership::{History, Holder, HolderId, Leader, Position, Table, Time};
+use cactushold_ownership::{Departures, History, Holder, HolderId, Leader, Position, Table, Time};
 use cactushold_platform::{Client, Object};
 use cactushold_wire::signal::KnownVersions;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::error::Error;
 use crate::peer::Links;
@@ -96,6 +96,11 @@
     first_table: Notify,
     /// The stored entry, if this process wrote it last.
     written_entry: RefCell<Option<Object>>,
+    /// Whether the stored entry was read, which tells whether the server had announced to an earlier
+    /// process that it leaves.
+    knows_departures: Cell<bool>,
+    /// The departures in the stored entry.
+    stored_departures: watch::Sender<Departures>,
     /// Ends long watch requests to the store when this daemon becomes the leader.
     leadership_started: Notify,
 }
@@ -135,6 +140,8 @@
             entry_changed: Notify::new(),
             first_table: Notify::new(),
             written_entry: RefCell::default(),
+            knows_departures: Cell::new(false),
+            stored_departures: watch::Sender::default(),
             leadership_started: Notify::new(),
         }
     }
--- a/crates/daemon/src/fleet/publish.rs
+++ b/crates/daemon/src/fleet/publish.rs
@@ -87,7 +87,8 @@
         let buckets = self.held_bucket_slices(now);
         let acquired = buckets.iter().map(|(slice, held)| (*slice, held.since));
         let table = self.table.borrow();
-        let running = server.incarnations.running();
+        // Until the entry was read, the server may be one that left: it gets no requests.
+        let running = server.incarnations.running().filter(|_| self.knows_departures.get());
         let view = View {
             id: self.id(),
             config: Arc::clone(&self.config.borrow()),
--- a/crates/daemon/src/fleet/reports.rs
+++ b/crates/daemon/src/fleet/reports.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactushold_ownership::{Grant, Hold, Report as HeldKeys, ReportOrder};
+use cactushold_ownership::{Departure, Grant, Hold, Report as HeldKeys, ReportOrder};
 use cactushold_platform::report::{
     Answer, DEREGISTER_PATH, Grant as GrantRow, HEARTBEAT_PATH, HeldRange, READY_PATH, Report,
+    State,
 };
 use cactushold_platform::socket::{InterimCounter, Socket};
 use http_body_util::{BodyExt, Full, Limited};
@@ -102,10 +103,10 @@
             return status_reply(StatusCode::BAD_REQUEST);
         };
         if let Some(server) = path.strip_prefix(HEARTBEAT_PATH) {
-            return self.on_report(server, &body.to_bytes());
+            return self.on_report(server, &body.to_bytes()).await;
         }
         match path.strip_prefix(DEREGISTER_PATH) {
-            Some(server) => self.on_deregister(server),
+            Some(server) => self.on_deregister(server).await,
             None => status_reply(StatusCode::NOT_FOUND),
         }
     }
@@ -116,7 +117,7 @@
         versions.config > 0 && versions.table > 0 && !self.shared.is_leaving()
     }
 
-    fn on_report(self: &Rc<Self>, server: &str, body: &[u8]) -> Reply {
+    async fn on_report(self: &Rc<Self>, server: &str, body: &[u8]) -> Reply {
         let report = match Report::parse(server, body) {
             Ok(report) if is_from_the_future(&report) => {
                 log!(
@@ -176,6 +177,9 @@
         }
         let grant_rows =
             grants.map(|(grants, time)| (grants.into_iter().map(grant_row).collect(), time));
+        if report.state == State::Draining && !self.has_stored(&departure_of(&report)).await {
+            return status_reply(StatusCode::SERVICE_UNAVAILABLE);
+        }
         json_reply(Answer { grants: grant_rows }.to_json())
     }
 
@@ -191,6 +195,12 @@
         self.record_ended_incarnation();
         *self.holder.borrow_mut() = None;
         self.shared.guard().server_started(report.slots, report.cold_left, now);
+        if !self.server.borrow().is_ready {
+            log!(info, Event::ServerLeaving, server = report.server);
+            let was_stored = self.stored_departures.borrow().contains(&departure_of(report));
+            let since = if was_stored { Duration::ZERO } else { now };
+            self.shared.guard().mark_server_leaving(since);
+        }
         self.entry_changed.notify_one();
     }
 
@@ -203,20 +213,29 @@
         self.shared.guard().update_server_state(report.slots, report.cold_left, now);
     }
 
-    fn on_deregister(self: &Rc<Self>, id: &str) -> Reply {
+    /// Acknowledges that a server leaves, once the store knows it: the next process of this daemon
+    /// has to know it as well.
+    async fn on_deregister(self: &Rc<Self>, id: &str) -> Reply {
         let now = clock::now();
-        {
+        let departure = {
             let mut server = self.server.borrow_mut();
-            if server.incarnations.latest().is_none_or(|latest| latest.incarnation.server != id) {
+            let latest = server.incarnations.latest().map(|latest| &latest.incarnation);
+            let Some(leaving) = latest.filter(|latest| latest.server == id) else {
                 return status_reply(StatusCode::OK);
-            }
+            };
+            let departure = Departure::of(leaving);
+            server.departures.record(departure.clone());
             server.is_ready = false;
-        }
+            departure
+        };
         log!(info, Event::ServerLeaving, server = id);
         self.shared.guard().mark_server_leaving(now);
         self.publish(now);
         self.entry_changed.notify_one();
-        status_reply(StatusCode::OK)
+        match self.has_stored(&departure).await {
+            true => status_reply(StatusCode::OK),
+            false => status_reply(StatusCode::SERVICE_UNAVAILABLE),
+        }
     }
 
     /// Records that the registered incarnation has ended and holds nothing any more.
@@ -290,6 +309,10 @@
     matches!(connecting, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
+fn departure_of(report: &Report) -> Departure {
+    Departure { server: report.server.clone(), born_until: report.started_ms }
+}
+
 fn held_keys(report: &Report) -> HeldKeys {
     let hold = |hold: &HeldRange| Hold { first: hold.first, last: hold.last, fence: hold.fence };
     HeldKeys {
--- a/crates/daemon/src/fleet/server.rs
+++ b/crates/daemon/src/fleet/server.rs
@@ -1,6 +1,6 @@
 //! The state of this daemon's server: its incarnations, and whether it accepts work.
 
-use cactushold_ownership::{Incarnation, Incarnations, ReportOrder, Time};
+use cactushold_ownership::{Departure, Departures, Incarnation, Incarnations, ReportOrder, Time};
 use cactushold_platform::report::{Report, State};
 
 /// The server's state, from its reports.
@@ -9,6 +9,8 @@
     pub incarnations: Incarnations,
     /// Whether it accepts work.
     pub is_ready: bool,
+    /// What was announced of servers that leave, to this process or to an earlier one.
+    pub departures: Departures,
 }
 
 impl Server {
@@ -17,12 +19,33 @@
     pub(super) fn record_report(&mut self, report: &Report, now: Time) -> ReportOrder {
         let incarnation = Incarnation { born: report.started_ms, server: report.server.clone() };
         let order = self.incarnations.record_report(&incarnation, report.seq, now);
-        let is_ready = report.state == State::Ready;
+        if order == ReportOrder::Stale {
+            return order;
+        }
+        if report.state == State::Draining {
+            self.departures.record(Departure::of(&incarnation));
+        }
+        let is_ready = !self.departures.covers(&incarnation);
         match order {
             ReportOrder::NewIncarnation => self.is_ready = is_ready,
-            ReportOrder::InOrder => self.is_ready &= is_ready,
-            ReportOrder::Stale => {}
+            _ => self.is_ready &= is_ready,
         }
         order
     }
+
+    /// Name of the latest server.
+    pub(super) fn name(&self) -> Option<String> {
+        self.incarnations.latest().map(|latest| latest.incarnation.server.clone())
+    }
+
+    /// Takes over departures that an earlier process stored. Returns whether the server turns out to
+    /// be leaving.
+    pub(super) fn restore_departures(&mut self, stored: &Departures) -> bool {
+        self.departures.add_earlier(stored);
+        let latest = self.incarnations.latest();
+        let is_leaving = latest.is_some_and(|latest| self.departures.covers(&latest.incarnation));
+        let was_ready = self.is_ready;
+        self.is_ready &= !is_leaving;
+        was_ready && is_leaving
+    }
 }
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod pipelines;
 mod reload;
 mod scarce;
+mod server_leaves;
 mod silence;
 mod stalls;
 mod stops;
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! All state machines here are pure: they do no I/O and take the current time as an argument.
 
+mod departure;
 mod difference;
 mod holder;
 mod incarnation;
@@ -18,6 +19,7 @@
 mod traffic;
 
 pub use crate::{
+    departure::{Departure, Departures},
     difference::{Difference, History, apply_encoded},
     holder::{Grant, Hold, Holder, Release, Report},
     incarnation::{Incarnation, Incarnations, LatestIncarnation, ReportOrder},
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -190,6 +190,17 @@
         self.shared.with(|state| state.is_draining = true);
     }
 
+    /// Has the server deregister, while it goes on serving and telling that it is ready. Returns the
+    /// status of the answer, if one comes within a second.
+    pub async fn deregister(&self) -> Option<u16> {
+        let (address, id) = self.shared.with(|state| (state.reports_to, state.id.clone()));
+        let path = format!("/v1/Instances.Deregister/{id}");
+        let http = Http::default();
+        let call = http.send(Method::POST, address?, &path, &[], "");
+        let answer = tokio::time::timeout(Duration::from_secs(1), call).await;
+        answer.ok()?.ok().map(|answer| answer.status.as_u16())
+    }
+
     /// Has the server refuse every request unrun, or stop doing so.
     pub fn shed(&self, sheds: bool) {
         self.shared.with(|state| state.sheds = sheds);
