Record the departure of a server that hasn't reported yet

Cause: a daemon that had just restarted answered 200 to the deregistration of a server that it didn't know, and dropped it; the next report told 'ready'. Ruled out: older entries at the leader, since the server's own daemon refuses what comes.

Change: departures are recorded by name and start, also before the first report; they are added to the entry of an earlier process as it stands, without waiting for the time after which it may name another incarnation. A deregistration that names an earlier start concerns no later one.

--- a/crates/daemon/src/fleet/entry.rs
+++ b/crates/daemon/src/fleet/entry.rs
@@ -147,6 +147,20 @@
             None => None,
         };
         if let Some(delay) = delay {
+            // What the daemon acknowledges can't wait until the entry may name another incarnation.
+            if let Some((id, entry)) = &stored
+                && entry.departures != desired.departures
+            {
+                let is_leaving = |announced| desired.departures.covers(announced);
+                let next = Entry {
+                    serves: entry.serves && !entry.incarnation.as_ref().is_some_and(is_leaving),
+                    departures: desired.departures,
+                    id: Some(*id),
+                    ..entry.clone()
+                };
+                self.write_entry(found, &next).await?;
+                return Ok(false);
+            }
             tokio::select! {
                 () = tokio::time::sleep(delay) => {}
                 () = self.entry_changed.notified() => {}
@@ -157,21 +171,31 @@
         let registered = self.registered_incarnation(desired.incarnation.as_ref());
         let same_incarnation = stored.filter(|(_, entry)| entry.incarnation == desired.incarnation);
         let next = Entry { id: same_incarnation.map(|(id, _)| id).or(registered), ..desired };
+        let Some(revision) = self.write_entry(found, &next).await? else { return Ok(false) };
+        self.adopt_incarnation(next.id.unwrap_or(revision), next.incarnation.as_ref());
+        // The server may have reported another state in the meantime.
+        Ok(Entry { id: None, ..next } == self.desired_entry())
+    }
+
+    /// Writes the entry in place of the one that was found. Returns its revision, or nothing if
+    /// another writer came first.
+    async fn write_entry(
+        &self,
+        found: Option<Object>,
+        next: &Entry,
+    ) -> Result<Option<HolderId>, Error> {
+        let name = self.shared.instance.name.clone();
+        let key = Key { kind: ENTRY_KIND, name: &name };
         let expected =
             found.map_or(Precondition::Absent, |object| Precondition::At(object.revision));
-        let value = serde_json::to_string(&next).unwrap_or_default();
-        match self.platform.put(key, &value, expected).await? {
-            PutOutcome::Stored(revision) => {
-                let name = self.shared.instance.name.clone();
-                let object = Object { name, revision, value, is_deleting: false };
-                self.written_entry.replace(Some(object));
-                self.stored_departures.send_replace(next.departures.clone());
-                self.adopt_incarnation(next.id.unwrap_or(revision), next.incarnation.as_ref());
-                // The server may have reported another state in the meantime.
-                Ok(Entry { id: None, ..next } == self.desired_entry())
-            }
-            PutOutcome::Conflict => Ok(false),
-        }
+        let value = serde_json::to_string(next).unwrap_or_default();
+        let PutOutcome::Stored(revision) = self.platform.put(key, &value, expected).await? else {
+            return Ok(None);
+        };
+        let object = Object { name: name.clone(), revision, value, is_deleting: false };
+        self.written_entry.replace(Some(object));
+        self.stored_departures.send_replace(next.departures.clone());
+        Ok(Some(revision))
     }
 
     /// Time until the incarnation in an entry of an earlier process can hold nothing any more;
--- a/crates/daemon/src/fleet/reports.rs
+++ b/crates/daemon/src/fleet/reports.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use cactushold_ownership::{Departure, Grant, Hold, Report as HeldKeys, ReportOrder};
 use cactushold_platform::report::{
-    Answer, DEREGISTER_PATH, Grant as GrantRow, HEARTBEAT_PATH, HeldRange, READY_PATH, Report,
-    State,
+    Answer, DEREGISTER_PATH, Deregistration, Grant as GrantRow, HEARTBEAT_PATH, HeldRange,
+    READY_PATH, Report, State,
 };
 use cactushold_platform::socket::{InterimCounter, Socket};
 use http_body_util::{BodyExt, Full, Limited};
@@ -106,7 +106,7 @@
             return self.on_report(server, &body.to_bytes()).await;
         }
         match path.strip_prefix(DEREGISTER_PATH) {
-            Some(server) => self.on_deregister(server).await,
+            Some(server) => self.on_deregister(server, &body.to_bytes()).await,
             None => status_reply(StatusCode::NOT_FOUND),
         }
     }
@@ -215,22 +215,21 @@
 
     /// Acknowledges that a server leaves, once the store knows it: the next process of this daemon
     /// has to know it as well.
-    async fn on_deregister(self: &Rc<Self>, id: &str) -> Reply {
-        let now = clock::now();
-        let departure = {
-            let mut server = self.server.borrow_mut();
-            let latest = server.incarnations.latest().map(|latest| &latest.incarnation);
-            let Some(leaving) = latest.filter(|latest| latest.server == id) else {
-                return status_reply(StatusCode::OK);
-            };
-            let departure = Departure::of(leaving);
-            server.departures.record(departure.clone());
-            server.is_ready = false;
-            departure
+    async fn on_deregister(self: &Rc<Self>, id: &str, body: &[u8]) -> Reply {
+        let started_ms = match Deregistration::parse(id, body) {
+            Ok(deregistration) => deregistration.started_ms,
+            Err(error) => {
+                log!(warn, Event::Unreadable, what = "deregistration", server = id, reason = %error);
+                return status_reply(StatusCode::BAD_REQUEST);
+            }
         };
-        log!(info, Event::ServerLeaving, server = id);
-        self.shared.guard().mark_server_leaving(now);
-        self.publish(now);
+        let now = clock::now();
+        let departure = self.server.borrow_mut().depart(id, started_ms, clock::since_epoch());
+        if self.server.borrow().is_leaving() {
+            log!(info, Event::ServerLeaving, server = id);
+            self.shared.guard().mark_server_leaving(now);
+            self.publish(now);
+        }
         self.entry_changed.notify_one();
         match self.has_stored(&departure).await {
             true => status_reply(StatusCode::OK),
--- a/crates/daemon/src/fleet/server.rs
+++ b/crates/daemon/src/fleet/server.rs
@@ -1,5 +1,7 @@
 //! The state of this daemon's server: its incarnations, and whether it accepts work.
 
+use std::time::Duration;
+
 use cactushold_ownership::{Departure, Departures, Incarnation, Incarnations, ReportOrder, Time};
 use cactushold_platform::report::{Report, State};
 
@@ -33,6 +35,31 @@
         order
     }
 
+    /// Records that a server leaves, also one that hasn't reported to this process. Without
+    /// `started_ms`, the latest incarnation of that name is meant, or whichever started before
+    /// `since_epoch`.
+    pub(super) fn depart(
+        &mut self,
+        name: &str,
+        started_ms: Option<u64>,
+        since_epoch: Duration,
+    ) -> Departure {
+        let latest = self.incarnations.latest().map(|latest| &latest.incarnation);
+        let started_ms = started_ms
+            .or_else(|| latest.filter(|latest| latest.server == name).map(|latest| latest.born))
+            .unwrap_or(since_epoch.as_millis() as u64);
+        let departure = Departure { server: name.to_owned(), born_until: started_ms };
+        self.departures.record(departure.clone());
+        self.is_ready &= !self.is_leaving();
+        departure
+    }
+
+    /// Whether the latest incarnation announced that it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        let latest = self.incarnations.latest();
+        latest.is_some_and(|latest| self.departures.covers(&latest.incarnation))
+    }
+
     /// Name of the latest server.
     pub(super) fn name(&self) -> Option<String> {
         self.incarnations.latest().map(|latest| latest.incarnation.server.clone())
@@ -42,10 +69,8 @@
     /// be leaving.
     pub(super) fn restore_departures(&mut self, stored: &Departures) -> bool {
         self.departures.add_earlier(stored);
-        let latest = self.incarnations.latest();
-        let is_leaving = latest.is_some_and(|latest| self.departures.covers(&latest.incarnation));
         let was_ready = self.is_ready;
-        self.is_ready &= !is_leaving;
-        was_ready && is_leaving
+        self.is_ready &= !self.is_leaving();
+        was_ready && !self.is_ready
     }
 }
--- a/crates/daemon/tests/platform/server_leaves.rs
+++ b/crates/daemon/tests/platform/server_leaves.rs
@@ -60,6 +60,40 @@
     assert_gets_nothing(&environment).await;
 }
 
+/// A daemon that had just restarted acknowledged the departure of a server that hadn't reported to it
+/// yet, and took the server for ready with its next report.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_holds_that_a_daemon_learns_before_the_first_report() {
+    let mut environment = deployment().await;
+    let server = environment.daemons[LEAVING].server.as_ref().expect("a server that reports");
+    server.set_silent(true);
+    environment.restart(LEAVING);
+    assert_eq!(deregister(&environment).await, Some(200));
+    let server = environment.daemons[LEAVING].server.as_ref().expect("a server that reports");
+    server.set_silent(false);
+    until_logged(&environment, LEAVING, "server-started").await;
+    tokio::time::sleep(SETTLING).await;
+    assert_gets_nothing(&environment).await;
+    environment.restart(LEAVING);
+    until_logged(&environment, LEAVING, "registered").await;
+    tokio::time::sleep(SETTLING).await;
+    assert_gets_nothing(&environment).await;
+}
+
+/// The deregistration of an earlier start arrived late, after the server had started again under its
+/// name.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_departure_of_an_earlier_start_concerns_no_later_one() {
+    let environment = deployment().await;
+    let server = environment.daemons[LEAVING].server.as_ref().expect("a server that reports");
+    assert_eq!(server.deregister_born(1).await, Some(200));
+    until("the server is still used", async || {
+        ask(&environment, LEAVING, RULING).await.ok();
+        arrivals(&environment) > 0
+    })
+    .await;
+}
+
 /// An acknowledgement without a store would be forgotten with the process.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_departure_is_acknowledged_only_once_it_is_stored() {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -67,6 +67,7 @@
     zone: String,
     address: SocketAddr,
     is_draining: bool,
+    is_silent: bool,
     reports_to: Option<SocketAddr>,
     held: Vec<Held>,
     /// What was held before, until it was given up or ran out.
@@ -133,6 +134,7 @@
             zone: zone.to_owned(),
             address: local,
             is_draining: false,
+            is_silent: false,
             reports_to: None,
             held: Vec::new(),
             past: Vec::new(),
@@ -185,6 +187,11 @@
         self.shared.with(|state| state.reports_to)
     }
 
+    /// Stops its reports, or lets them go on.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.shared.with(|state| state.is_silent = is_silent);
+    }
+
     /// Has the server say that it leaves.
     pub fn drain(&self) {
         self.shared.with(|state| state.is_draining = true);
@@ -193,10 +200,19 @@
     /// Has the server deregister, while it goes on serving and telling that it is ready. Returns the
     /// status of the answer, if one comes within a second.
     pub async fn deregister(&self) -> Option<u16> {
+        self.send_deregistration(String::new()).await
+    }
+
+    /// Like [`Server::deregister`], as a start at this Unix millisecond.
+    pub async fn deregister_born(&self, born: u64) -> Option<u16> {
+        self.send_deregistration(json!({ "born": born }).to_string()).await
+    }
+
+    async fn send_deregistration(&self, body: String) -> Option<u16> {
         let (address, id) = self.shared.with(|state| (state.reports_to, state.id.clone()));
         let path = format!("/v1/Instances.Deregister/{id}");
         let http = Http::default();
-        let call = http.send(Method::POST, address?, &path, &[], "");
+        let call = http.send(Method::POST, address?, &path, &[], body);
         let answer = tokio::time::timeout(Duration::from_secs(1), call).await;
         answer.ok()?.ok().map(|answer| answer.status.as_u16())
     }
@@ -322,7 +338,8 @@
     loop {
         let due = shared.with(|state| {
             let id = state.id.clone();
-            state.reports_to.map(|address| (address, id, state.report()))
+            let reports_to = state.reports_to.filter(|_| !state.is_silent);
+            reports_to.map(|address| (address, id, state.report()))
         });
         if let Some((address, id, body)) = due {
             let path = format!("/v1/Instances.Heartbeat/{id}");
