Read what has arrived before a request goes on

Cause: the RPC library starts a call before it reads the messages behind it, so a daemon that stood still ran calls whose cancellation had arrived with them; likewise nothing was looked at between the end of a wait (slot, retry, connection) and the next step.

Change: at each hop a request lets the event loop handle what has arrived, and a call from another daemon waits until its connection has nothing more to read. After connecting to the upstream, ownership, departure and deadline are checked once more.

--- a/crates/daemon/src/guard/permit.rs
+++ b/crates/daemon/src/guard/permit.rs
@@ -7,10 +7,10 @@
 use cactushold_attempt::FailureKind;
 use cactushold_lease::{SliceId, Time};
 
-use crate::clock;
 use crate::exchange::{Refusal, Request};
 use crate::guard::table::Admission;
 use crate::shared::Shared;
+use crate::{clock, stall};
 
 /// An upstream slot held by a request; released on drop.
 pub struct Permit {
@@ -46,7 +46,11 @@
                 () = shared.deadline_or_shutdown(request.deadline) => None,
             };
             match decision {
-                Some(Ok(())) => queued.ticket = None,
+                Some(Ok(())) => {
+                    // The slot is released if the caller left in the meantime.
+                    stall::catch_up().await;
+                    queued.ticket = None;
+                }
                 Some(Err(refusal)) => {
                     queued.ticket = None;
                     return Err(refusal);
--- a/crates/daemon/src/guard/serve.rs
+++ b/crates/daemon/src/guard/serve.rs
@@ -174,8 +174,18 @@
     let started = now;
     progress.hand_over(now);
     let server = view.server.as_deref();
+    // Connecting takes time, too.
+    let recheck = || {
+        if clock::now() >= request.deadline {
+            return Err(Refusal::new(FailureKind::Expired));
+        }
+        if shared.uses_reports() {
+            check_service_and_zone(shared, request)?;
+        }
+        fence_of(&shared.view(), slice, clock::now()).map(|_| ())
+    };
     let answer = tokio::select! {
-        answer = upstream.send(request, server, slice.zip(fence), expires, permit) => answer,
+        answer = upstream.send(request, server, slice.zip(fence), expires, permit, &recheck) => answer,
         () = shared.shutdown_limit() => Err(Refusal::sent(FailureKind::TimedOut)),
     };
     match &answer {
--- a/crates/daemon/src/ingress/send.rs
+++ b/crates/daemon/src/ingress/send.rs
@@ -14,7 +14,7 @@
 use crate::exchange::{Answer, LatencyEstimate, Refusal, Request};
 use crate::ingress::trace::{AttemptTrace, Trace};
 use crate::worker::Worker;
-use crate::{clock, guard, peer};
+use crate::{clock, guard, peer, stall};
 
 /// Target of an attempt, and the expected latency at the best other target.
 pub type Destination = (Incarnation, Option<Time>);
@@ -141,6 +141,7 @@
     let request = &*shared.with_shutdown_limit(request);
     let view = shared.view();
     if target == view.id {
+        stall::catch_up().await;
         let request = Request { expected_elsewhere, ..request.clone() };
         let answer =
             guard::serve(shared, &worker.upstream, &request, &attempt_trace.record_local()).await;
@@ -171,6 +172,7 @@
     let link = link.map_err(|error| {
         Refusal::new(FailureKind::Unreachable).with_detail(format!("daemon {target}: {error}"))
     })?;
+    stall::catch_up().await;
     let mut call = link.peer.forward_request();
     peer::write_request(call.get().init_request(), request, expected_elsewhere, clock::now());
     attempt_trace.record_link(link.silence(clock::now()));
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Calls between daemons over capnp-rpc.
 
 mod convert;
+mod inbound;
 mod activity;
 mod link;
 mod server;
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -18,6 +18,7 @@
 use crate::guard::Handover;
 use crate::peer::attempt_log::AttemptLog;
 use crate::peer::convert;
+use crate::peer::inbound::{Inbound, InboundReader};
 use crate::quota::{BucketOwnership, Token};
 use crate::shared::{Command, OpenRequest, Shared, View};
 use crate::upstream::{BodyStream, Upstream};
@@ -40,6 +41,7 @@
 struct Server {
     shared: Arc<Shared>,
     upstream: Rc<Upstream>,
+    inbound: Rc<Inbound>,
 }
 
 /// The rest of an answer's body, until the calling daemon releases it.
@@ -55,7 +57,11 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let server = Server { shared: Arc::clone(&shared), upstream: Rc::clone(&upstream) };
+        let server = Server {
+            shared: Arc::clone(&shared),
+            upstream: Rc::clone(&upstream),
+            inbound: Rc::default(),
+        };
         tokio::task::spawn_local(serve(stream, server));
     }
 }
@@ -63,6 +69,7 @@
 async fn serve(stream: TcpStream, server: Server) {
     stream.set_nodelay(true).ok();
     let (reader, writer) = stream.into_split();
+    let reader = InboundReader::new(reader, Rc::clone(&server.inbound));
     let network = VatNetwork::new(
         futures::io::BufReader::new(reader.compat()),
         futures::io::BufWriter::new(writer.compat_write()),
@@ -167,6 +174,7 @@
         self.shared.record_forward(now);
         let request = convert::read_request(params.get()?.get_request()?, now)?;
         let request = self.shared.with_shutdown_limit(&request).into_owned();
+        self.inbound.wait_until_drained().await;
         let log = AttemptLog::new(&self.shared, &request, now);
         let answer = guard::serve(&self.shared, &self.upstream, &request, &log.progress).await;
         log.finish(&answer);
--- a/crates/daemon/src/stall.rs
+++ b/crates/daemon/src/stall.rs
@@ -50,6 +50,12 @@
 /// Shortest step: one iteration of the event loop.
 const MIN_STEP: Duration = Duration::from_millis(1);
 
+/// Lets the event loop of this thread handle what has arrived. After a stall, a request and its
+/// cancellation arrive together; a request that waits here before it goes on is dropped then.
+pub async fn catch_up() {
+    tokio::task::yield_now().await;
+}
+
 /// Sleeps for `time` and returns how late the thread woke up.
 pub async fn sleep(time: Duration) -> Duration {
     let due = clock::now() + time;
--- a/crates/daemon/src/upstream/mod.rs
+++ b/crates/daemon/src/upstream/mod.rs
@@ -144,7 +144,8 @@
     }
 
     /// Sends a request that holds a slot, with the `server` that it is meant for or the `fence` of
-    /// its slice. `expires` is the time limit that the upstream is given.
+    /// its slice. `expires` is the time limit that the upstream is given. `recheck` decides once more
+    /// after a new connection was opened.
     ///
     /// # Errors
     /// The upstream refused the request, or didn't answer it completely before the deadline. The
@@ -156,6 +157,7 @@
         fence: Option<(SliceId, Fence)>,
         expires: Time,
         permit: Permit,
+        recheck: &dyn Fn() -> Result<(), Refusal>,
     ) -> Result<Reply, Refusal> {
         metrics::counter!(metric::UPSTREAM_REQUESTS).increment(1);
         let outgoing = match self.dialect {
@@ -163,7 +165,7 @@
             Dialect::Platform => platform_request(request, server, expires)?,
         };
         let permit = Rc::new(permit);
-        let response = self.exchange(outgoing, request, &permit).await;
+        let response = self.exchange(outgoing, request, &permit, recheck).await;
         permit.set_outcome(&response);
         drop(permit);
         let (response, connection) = response?;
@@ -176,16 +178,18 @@
         outgoing: hyper::Request<Full<Bytes>>,
         request: &Request,
         permit: &Rc<Permit>,
+        recheck: &dyn Fn() -> Result<(), Refusal>,
     ) -> Result<(hyper::Response<Incoming>, Connection), Refusal> {
         let deadline = clock::instant(request.deadline);
         let identity = self.identity(request);
-        let sending = self.pool.send(outgoing, identity, request.idempotent, permit);
+        let sending = self.pool.send(outgoing, (identity, request.idempotent), permit, recheck);
         let sending = tokio::time::timeout_at(deadline, sending).await;
         let (response, mut connection) = match sending {
             Ok(Ok(answered)) => answered,
             Ok(Err(Failure::NotSent(detail))) => {
                 return Err(Refusal::new(FailureKind::Unreachable).with_detail(detail));
             }
+            Ok(Err(Failure::Refused(refusal))) => return Err(refusal),
             Ok(Err(Failure::Broken(detail))) => {
                 return Err(Refusal::sent(FailureKind::Broken).with_detail(detail));
             }
@@ -302,15 +306,18 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
-        let sending =
-            tokio::time::timeout(GRANT_TIMEOUT, self.pool.send_on_new_connection(request, None))
-                .await;
+        let sending = tokio::time::timeout(
+            GRANT_TIMEOUT,
+            self.pool.send_on_new_connection(request, None, &|| Ok(())),
+        )
+        .await;
         let sent = sending.map_err(|_| {
             self.discard_idle_connections();
             "the upstream didn't answer in time".to_owned()
         })?;
         let (response, _connection) = sent.map_err(|failure| match failure {
             Failure::NotSent(reason) | Failure::Broken(reason) => reason,
+            Failure::Refused(refusal) => refusal.detail,
         })?;
         let status = response.status();
         if status.is_success() { Ok(()) } else { Err(status.to_string()) }
--- a/crates/daemon/src/upstream/pool.rs
+++ b/crates/daemon/src/upstream/pool.rs
@@ -18,8 +18,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
-use crate::clock;
+use crate::exchange::Refusal;
 use crate::guard::Permit;
+use crate::{clock, stall};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -102,6 +103,8 @@
 pub enum Failure {
     /// The request was not sent.
     NotSent(String),
+    /// The request must not be sent any more.
+    Refused(Refusal),
     /// The connection broke after the request may have been sent.
     Broken(String),
 }
@@ -121,9 +124,9 @@
     pub async fn send(
         &self,
         mut request: Request<Full<Bytes>>,
-        identity: RequestIdentity,
-        is_repeatable: bool,
+        (identity, is_repeatable): (RequestIdentity, bool),
         permit: &Rc<Permit>,
+        recheck: &dyn Fn() -> Result<(), Refusal>,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         while let Some(mut connection) = self.take_idle(identity, is_repeatable).await {
             match connection.send(request, Some(permit)).await {
@@ -135,10 +138,10 @@
                 },
             }
         }
-        self.send_on_new_connection(request, Some(permit)).await
+        self.send_on_new_connection(request, Some(permit), recheck).await
     }
 
-    /// Sends a request over a new connection, where no answer to an earlier request can arrive.
+    /// Opens a connection and sends a request over it if `recheck` still allows that. On a new one, no answer to an earlier request can arrive.
     ///
     /// # Errors
     /// As for [`Pool::send`].
@@ -146,8 +149,11 @@
         &self,
         request: Request<Full<Bytes>>,
         permit: Option<&Rc<Permit>>,
+        recheck: &dyn Fn() -> Result<(), Refusal>,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         let mut connection = self.connect().await?;
+        stall::catch_up().await;
+        recheck().map_err(Failure::Refused)?;
         match connection.send(request, permit).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => match error.take_message() {
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! liveness and are granted keys in the answers, operators who write objects.
 
 mod budgets;
+mod callers_leave;
 mod cases;
 mod clocks;
 mod configuration;
