Notice a caller that leaves with several requests open

Cause: while a further request is in its buffer, the HTTP library reads nothing from the connection, and so never sees its end.

Change: the connection is read ahead, up to 16 KiB, while a request is open and the library doesn't read. When it ends, everything that was asked for over it is dropped. Requests that are found so start early like others.

--- a/crates/daemon/src/ingress/mod.rs
+++ b/crates/daemon/src/ingress/mod.rs
@@ -78,6 +78,7 @@
     let unflushed = Rc::new(UnflushedRequests::default());
     let stream = Connection::new(stream, Arc::clone(&worker.shared), Rc::clone(&unflushed));
     let reader = PipelineReader::new(stream, limits.head_bytes.max(8 << 10), Rc::clone(&pipeline));
+    let watch = reader.watch();
     let service_pipeline = Rc::clone(&pipeline);
     let service = service_fn(move |request| {
         let (worker, pipeline) = (Rc::clone(&worker), Rc::clone(&service_pipeline));
@@ -98,14 +99,14 @@
         .serve_connection(TokioIo::new(reader), service);
     tokio::pin!(connection);
     tokio::select! {
-        _ = &mut connection => return,
+        _ = watch.drive(connection.as_mut()) => return,
         _ = stop.wait_for(|stop| *stop) => {}
         _ = close_when_idle.wait_for(|stop| *stop), if !is_already_leaving => {}
     }
     // Pipelined requests that were already started may have reached an upstream, so they still get
     // their responses.
     tokio::select! {
-        _ = &mut connection => return,
+        _ = watch.drive(connection.as_mut()) => return,
         () = pipeline.finish_started() => {}
     }
     connection.as_mut().graceful_shutdown();
--- a/crates/daemon/src/ingress/pipeline.rs
+++ b/crates/daemon/src/ingress/pipeline.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::Empty;
 use hyper::Request;
 use hyper::http::request::Builder;
@@ -21,6 +21,11 @@
 /// Maximum number of requests of a connection that run early.
 const MAX_STARTED_EARLY: usize = 8;
 
+/// Maximum number of bytes that are read ahead of the HTTP server.
+const MAX_READ_AHEAD: usize = 16 << 10;
+/// Size of one such read, in bytes.
+const READ_AHEAD: usize = 4 << 10;
+
 /// A request without a body, as it was read from a connection.
 pub type BodilessRequest = Request<Empty<Bytes>>;
 
@@ -79,6 +84,11 @@
         }
     }
 
+    /// Whether a request that was read waits for its response.
+    fn has_open_request(&self) -> bool {
+        self.received.get() > self.responded.get() || !self.is_empty()
+    }
+
     /// Records that the current request has its response.
     pub fn record_response(&self) {
         self.responded.set(self.responded.get() + 1);
@@ -208,11 +218,82 @@
     builder.body(Empty::new()).ok()
 }
 
-/// A stream that passes its bytes through and starts the pipelined requests that it finds in them.
-pub struct PipelineReader<S, T> {
+/// A caller's stream with the requests that were found in it.
+struct Input<S, T> {
     stream: S,
     scanner: Scanner,
     pipeline: Rc<Pipeline<T>>,
+    /// What was read ahead of the HTTP server.
+    ahead: BytesMut,
+    /// Whether the HTTP server waits for bytes, and so notices the end of the stream itself.
+    is_awaited: bool,
+}
+
+impl<S: AsyncRead + Unpin, T> Input<S, T> {
+    /// Reads from the stream and starts the pipelined requests.
+    fn poll_stream(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let filled_before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Poll::Ready(Ok(())) = &read {
+            let pipeline = &self.pipeline;
+            let on_request = |index, request| pipeline.start_early(index, request);
+            self.scanner.feed(&buffer.filled()[filled_before..], on_request);
+        }
+        read
+    }
+
+    /// Completes when the caller has closed the connection while a request is open. The HTTP server
+    /// doesn't read on while it has a further request in its buffer.
+    fn poll_left(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        while !self.is_awaited
+            && self.pipeline.has_open_request()
+            && !self.pipeline.is_closing.get()
+            && self.ahead.len() < MAX_READ_AHEAD
+        {
+            let mut bytes = [0; READ_AHEAD];
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match self.poll_stream(context, &mut buffer) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    self.ahead.extend_from_slice(buffer.filled());
+                }
+                Poll::Ready(_) => return Poll::Ready(()),
+            }
+        }
+        Poll::Pending
+    }
+}
+
+/// A stream that passes its bytes through and starts the pipelined requests that it finds in them.
+pub struct PipelineReader<S, T> {
+    input: Rc<RefCell<Input<S, T>>>,
+}
+
+/// Watches for a caller that leaves while the HTTP server doesn't read from its connection.
+pub struct LeaveWatch<S, T> {
+    input: Rc<RefCell<Input<S, T>>>,
+}
+
+impl<S: AsyncRead + Unpin, T> LeaveWatch<S, T> {
+    /// Drives a connection to its end, or until its caller has left. Returns whether it ended.
+    pub async fn drive(&self, mut connection: Pin<&mut impl Future>) -> bool {
+        std::future::poll_fn(|context| {
+            // Also after the connection, which may just have read the last request.
+            let has_left = self.input.borrow_mut().poll_left(context).is_ready();
+            if !has_left && connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(true);
+            }
+            match has_left || self.input.borrow_mut().poll_left(context).is_ready() {
+                true => Poll::Ready(false),
+                false => Poll::Pending,
+            }
+        })
+        .await
+    }
 }
 
 impl<S, T> PipelineReader<S, T> {
@@ -222,7 +303,19 @@
         max_head_bytes: usize,
         pipeline: Rc<Pipeline<T>>,
     ) -> PipelineReader<S, T> {
-        PipelineReader { stream, scanner: Scanner::new(max_head_bytes), pipeline }
+        let input = Input {
+            stream,
+            scanner: Scanner::new(max_head_bytes),
+            pipeline,
+            ahead: BytesMut::new(),
+            is_awaited: false,
+        };
+        PipelineReader { input: Rc::new(RefCell::new(input)) }
+    }
+
+    /// Watches for the caller to leave. Must be polled by the task that polls the connection.
+    pub fn watch(&self) -> LeaveWatch<S, T> {
+        LeaveWatch { input: Rc::clone(&self.input) }
     }
 }
 
@@ -232,14 +325,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        let this = self.get_mut();
-        let filled_before = buffer.filled().len();
-        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
-        if let Poll::Ready(Ok(())) = &read {
-            let pipeline = &this.pipeline;
-            let on_request = |index, request| pipeline.start_early(index, request);
-            this.scanner.feed(&buffer.filled()[filled_before..], on_request);
+        let mut input = self.get_mut().input.borrow_mut();
+        if !input.ahead.is_empty() {
+            let length = input.ahead.len().min(buffer.remaining());
+            buffer.put_slice(&input.ahead.split_to(length));
+            return Poll::Ready(Ok(()));
         }
+        let read = input.poll_stream(context, buffer);
+        input.is_awaited = read.is_pending();
         read
     }
 }
@@ -250,7 +343,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        Pin::new(&mut self.get_mut().input.borrow_mut().stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -258,18 +351,18 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, slices)
+        Pin::new(&mut self.get_mut().input.borrow_mut().stream).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.input.borrow().stream.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        Pin::new(&mut self.get_mut().input.borrow_mut().stream).poll_flush(context)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+        Pin::new(&mut self.get_mut().input.borrow_mut().stream).poll_shutdown(context)
     }
 }
--- a/crates/daemon/tests/platform/callers_leave.rs
+++ b/crates/daemon/tests/platform/callers_leave.rs
@@ -4,11 +4,16 @@
 use std::time::Duration;
 
 use cactushold_standin::environment::Environment;
+use cactushold_standin::script::{Action, Proxy};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::cases::{RULING, ask, deployment, holder, lookup, until};
+use crate::cases::{RULING, ask, config, deployment, holder, lookup, until, until_held};
 
+/// Time of a run that outlasts every check.
+const LONG_RUN: Duration = Duration::from_secs(8);
+/// Time after a caller left within which servers have to have ended its requests.
+const ENDED_WITHIN: Duration = Duration::from_millis(500);
 /// Time for which a daemon stands still: longer than a request may go on without its caller, and
 /// shorter than what makes other daemons give up the connection to it.
 const STANDSTILL: Duration = Duration::from_millis(700);
@@ -38,10 +43,51 @@
     runs.map(|run| run.attempt).filter(|attempt| attempts.contains(attempt)).collect()
 }
 
+fn running(environment: &Environment) -> usize {
+    let servers = environment.daemons.iter().filter_map(|daemon| daemon.server.as_ref());
+    servers.map(|server| server.running()).sum()
+}
+
 fn attempts(name: &str) -> Vec<String> {
     (0..CALLERS).map(|at| format!("{name}-{at}")).collect()
 }
 
+/// Writes lookups over one connection, leaves when all run, and asserts that the connections to the
+/// servers are closed: from that, servers know that nobody waits.
+async fn assert_runs_end(positions: &[u16]) {
+    let mut environment = Environment::new().await;
+    environment.store("config", "main", &config(1)).await;
+    let mut proxies = Vec::new();
+    for (name, zone) in [("lookup-1", "a"), ("lookup-2", "b"), ("lookup-3", "c")] {
+        proxies.push(environment.add_scripted(name, zone, "lookup", |_, _| Action::Pass).await);
+    }
+    until_held(&environment).await;
+    for daemon in &environment.daemons {
+        daemon.server.as_ref().expect("a server that reports").set_run(LONG_RUN);
+    }
+    let mut stream = connect(&environment, 0).await;
+    let all: String = (positions.iter().enumerate())
+        .map(|(at, position)| request("/lookup/w", &format!("open-{at}"), Some(*position)))
+        .collect();
+    stream.write_all(all.as_bytes()).await.expect("all are sent");
+    until("all run", async || running(&environment) == positions.len()).await;
+    drop(stream);
+    tokio::time::sleep(ENDED_WITHIN).await;
+    let open: usize = proxies.iter().map(Proxy::open_connections).sum();
+    assert_eq!(open, 0, "servers work for a caller that left");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_stops_work_for_a_caller_that_left() {
+    assert_runs_end(&[0]).await;
+}
+
+/// With a further request in its buffer, the HTTP library doesn't notice the end of a connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_stop_work_for_a_caller_that_left_with_several_requests_open() {
+    assert_runs_end(&[0, 20_000, 60_000]).await;
+}
+
 /// A daemon that stood still found a request and the end of its connection at the same time.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_stood_still_passes_on_nothing_of_callers_that_left() {
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -34,6 +34,7 @@
 pub struct Proxy {
     /// Where the proxy listens.
     pub address: SocketAddr,
+    open: Arc<()>,
     task: JoinHandle<()>,
 }
 
@@ -55,16 +56,24 @@
     ) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, target, Arc::new(choose)));
-        Ok(Proxy { address, task })
+        let open = Arc::new(());
+        let task = tokio::spawn(accept(listener, target, Arc::new(choose), Arc::clone(&open)));
+        Ok(Proxy { address, open, task })
+    }
+
+    /// Connections that its callers keep open.
+    pub fn open_connections(&self) -> usize {
+        // One each is held by the proxy and by the task that accepts.
+        Arc::strong_count(&self.open) - 2
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, choose: Arc<Choose>) {
+async fn accept(listener: TcpListener, target: SocketAddr, choose: Arc<Choose>, open: Arc<()>) {
     for number in 0.. {
         let Ok((stream, _)) = listener.accept().await else { return };
-        let choose = Arc::clone(&choose);
+        let (choose, open) = (Arc::clone(&choose), Arc::clone(&open));
         tokio::spawn(async move {
+            let _open = open;
             let choose = |request: &str| choose(number, request);
             serve(stream, target, choose).await.ok();
         });
