Show that endless answers are not kept for callers that left

Another operator's faulty server sent bytes without end until its caller's machine ran out of memory. Here it can't be shown: heads, interim answers, chunk sizes and extensions, bodies, trailers and bytes behind an answer are bounded or end at the deadline (14 kinds in tests/platform/endless.rs, 8 MiB a daemon).

--- a/crates/daemon/tests/platform/endless.rs
+++ b/crates/daemon/tests/platform/endless.rs
@@ -207,6 +207,27 @@
         .await;
     }
 
+    /// Asks for an endless answer, and leaves a moment after it has begun or the request was refused.
+    async fn ask_and_leave(&self, entry: usize, name: &str) {
+        let attempt = format!("{:016x}", fastrand::u64(..));
+        let address = self.environment.daemons[entry].callers;
+        let mut caller = TcpStream::connect(address).await.expect("connects");
+        let request = format!(
+            "POST /endless/{name}/fast HTTP/1.1\r\nhost: words.example\r\n\
+             attempt-id: {attempt}\r\ncontent-length: 0\r\n\r\n"
+        );
+        caller.write_all(request.as_bytes()).await.expect("sent");
+        let refused = async {
+            caller.readable().await.expect("a connection");
+        };
+        let arrived = until("the request arrives", async || self.has_arrived(&attempt));
+        tokio::select! {
+            () = refused => {}
+            _ = arrived => {}
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
     /// Asks for each endless answer once; asserts what callers see.
     async fn flood(&self, pace: &str) {
         let peaks = self.peaks();
@@ -333,6 +354,26 @@
     deployment.until_quiet().await;
 }
 
+/// A daemon must not keep what a faulty server sends for callers that have left, neither where the
+/// request was taken nor beside the server.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endless_answer_is_not_kept_for_callers_that_left() {
+    let deployment = Deployment::start().await;
+    let peaks = deployment.peaks();
+    let ended = AtomicBool::new(false);
+    let floods = async {
+        for (name, ..) in ENDLESS.iter().cycle().take(ENDLESS.len() * 4) {
+            for entry in 0..deployment.environment.daemons.len() {
+                deployment.ask_and_leave(entry, name).await;
+            }
+        }
+        ended.store(true, Ordering::Relaxed);
+    };
+    futures::join!(floods, deployment.others(&ended));
+    deployment.until_quiet().await;
+    deployment.assert_bounded(&peaks);
+}
+
 /// Floods each call to the store while `is_flooding`, and counts them.
 fn choose_store(is_flooding: &AtomicBool, floods: &AtomicUsize) -> Option<Flood> {
     if !is_flooding.load(Ordering::Relaxed) {
