--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -154,6 +154,21 @@
     /// Freezes the process.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
+        // Under load, threads still run for a while.
+        let start = Instant::now();
+        while !self.is_stopped() {
+            assert!(start.elapsed() < PATIENCE, "{} doesn't stop", self.name);
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Whether each thread of the process has stopped.
+    fn is_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.pid()));
+        threads.into_iter().flatten().flatten().all(|thread| {
+            let status = std::fs::read_to_string(thread.path().join("status"));
+            status.is_ok_and(|status| status.contains("State:\tT"))
+        })
     }
 
     /// Lets a frozen process go on.
