Read what has arrived after a stall only, where a slot would stand idle

Change: these turns are taken only within 250 ms of a stall of 250 ms or longer, by the control thread's timer. The one at the arrival from another daemon stays.

--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -206,6 +206,7 @@
             ticks.tick().await;
             let now = clock::now();
             stalls.fired(now);
+            stall::record_tick(now);
             self.publish(now);
             self.check_missed_reports(now);
             self.shared.guard().admit_waiting(&self.config.borrow(), now);
--- a/crates/daemon/src/peer/inbound.rs
+++ b/crates/daemon/src/peer/inbound.rs
@@ -9,8 +9,6 @@
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::tcp::OwnedReadHalf;
 
-use crate::stall;
-
 /// Turns of the event loop after which a call goes on even if more messages keep arriving.
 const MAX_TURNS: u32 = 32;
 
@@ -26,7 +24,7 @@
     /// arrive together; the future of a call that was cancelled is dropped here.
     pub async fn wait_until_drained(&self) {
         for _ in 0..MAX_TURNS {
-            stall::catch_up().await;
+            tokio::task::yield_now().await;
             if !self.has_more.get() {
                 return;
             }
--- a/crates/daemon/src/stall.rs
+++ b/crates/daemon/src/stall.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use cactushold_lease::Time;
@@ -50,10 +51,43 @@
 /// Shortest step: one iteration of the event loop.
 const MIN_STEP: Duration = Duration::from_millis(1);
 
-/// Lets the event loop of this thread handle what has arrived. After a stall, a request and its
-/// cancellation arrive together; a request that waits here before it goes on is dropped then.
+/// Shortest stall after which a request may be found together with a cancellation that it should
+/// have got long before.
+const MIN_HARMFUL: Duration = Duration::from_millis(250);
+
+/// When the control thread's timer last fired, and when its latest harmful stall ended, in
+/// microseconds; 0 if never.
+static TICKED_AT: AtomicU64 = AtomicU64::new(0);
+static STALL_ENDED_AT: AtomicU64 = AtomicU64::new(0);
+
+/// Notes that the control thread's recurring timer fired at `now`.
+pub(crate) fn record_tick(now: Time) {
+    let previous = TICKED_AT.swap(micros(now), Ordering::Relaxed);
+    if previous != 0 && micros(now).saturating_sub(previous) >= micros(MIN_HARMFUL) {
+        STALL_ENDED_AT.store(micros(now), Ordering::Relaxed);
+    }
+}
+
+/// Whether the process is stalled, as the control thread is late, or was a moment ago.
+fn is_recovering(now: Time) -> bool {
+    let is_recent = |at: &AtomicU64, within: Duration| {
+        let at = at.load(Ordering::Relaxed);
+        at != 0 && micros(now).saturating_sub(at) < micros(within)
+    };
+    !is_recent(&TICKED_AT, MIN_HARMFUL) || is_recent(&STALL_ENDED_AT, MIN_HARMFUL)
+}
+
+fn micros(time: Duration) -> u64 {
+    time.as_micros() as u64
+}
+
+/// Lets the event loop of this thread handle what has arrived, if the process has just stalled. A
+/// request and its cancellation are found together then; a request that waits here before it goes
+/// on is dropped.
 pub async fn catch_up() {
-    tokio::task::yield_now().await;
+    if is_recovering(clock::now()) {
+        tokio::task::yield_now().await;
+    }
 }
 
 /// Sleeps for `time` and returns how late the thread woke up.
