Tell how a configuration came here, and how long it took

Event 102 tells how long a failed watch took and when it is tried again. No decision depends on any of it.

--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -2,6 +2,7 @@
 //! peers.
 
 use std::cell::Cell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,11 +37,52 @@
     Differences(Vec<u8>),
 }
 
+/// Where a document came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// The platform's store.
+    Store,
+    /// The leader.
+    Leader,
+    /// A member of the own zone, on the leader's word.
+    Neighbour,
+    /// A daemon that told of it.
+    Peer,
+}
+
+impl Origin {
+    fn name(self) -> &'static str {
+        match self {
+            Origin::Store => "store",
+            Origin::Leader => "leader",
+            Origin::Neighbour => "neighbour",
+            Origin::Peer => "peer",
+        }
+    }
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+/// A version of the configuration that another daemon has and this one hasn't.
+#[derive(Clone, Copy, Debug)]
+struct Announced {
+    version: u64,
+    /// When this daemon heard of it.
+    at: Time,
+    /// Fetches of the configuration since then.
+    fetches: u32,
+}
+
 /// Which documents are being fetched. Each is fetched by at most one task at a time.
 #[derive(Default)]
 pub(super) struct Fetches {
     table: Cell<bool>,
     config: Cell<bool>,
+    announced: Cell<Option<Announced>>,
 }
 
 impl Fetches {
@@ -50,6 +92,36 @@
             Document::Config => &self.config,
         }
     }
+
+    /// Records that another daemon has a newer configuration.
+    fn note_announced(&self, version: u64, own: u64, now: Time) {
+        if self.announced.get().is_none_or(|announced| announced.version <= own) {
+            self.announced.set(Some(Announced { version, at: now, fetches: 0 }));
+        }
+    }
+
+    fn note_fetch(&self, document: Document) {
+        if document == Document::Config
+            && let Some(announced) = self.announced.get()
+        {
+            let fetches = announced.fetches + 1;
+            self.announced.set(Some(Announced { fetches, ..announced }));
+        }
+    }
+
+    /// Ends the wait for a version, or an older one. Returns how long it took since this daemon
+    /// heard of it, and the fetches.
+    fn end_wait(&self, version: u64, now: Time) -> (Duration, u32) {
+        match self.announced.take() {
+            Some(announced) if announced.version <= version => {
+                (now.saturating_sub(announced.at), announced.fetches)
+            }
+            later => {
+                self.announced.set(later);
+                (Duration::ZERO, 0)
+            }
+        }
+    }
 }
 
 impl Fleet {
@@ -57,6 +129,9 @@
     /// it.
     pub(super) fn fetch_newer_documents(self: &Rc<Self>, known: KnownVersions, source: SocketAddr) {
         let own = self.known_versions();
+        if known.config > own.config {
+            self.fetches.note_announced(known.config, own.config, clock::now());
+        }
         if known.table > own.table {
             self.start_fetch(source, Document::Table);
         }
@@ -75,10 +150,18 @@
             let neighbour = fleet.neighbour(source).filter(|neighbour| *neighbour != source);
             let neighbour = neighbour.map(|neighbour| (neighbour, NEIGHBOUR_TIMEOUT));
             for (provider, timeout) in neighbour.into_iter().chain([(source, FETCH_TIMEOUT)]) {
+                let origin = fleet.origin(provider, source);
+                fleet.fetches.note_fetch(document);
                 let fetch = fleet.fetch(provider, document);
                 let fetched = tokio::time::timeout(timeout, fetch).await;
+                let outcome = match &fetched {
+                    Ok(Some(_)) => metric::Fetch::Content,
+                    Ok(None) => metric::Fetch::Nothing,
+                    Err(_) => metric::Fetch::TimedOut,
+                };
+                metric::count_fetch(document, origin.name(), outcome);
                 if let Ok(Some(fetched)) = fetched {
-                    fleet.apply_document(document, fetched);
+                    fleet.apply_document(document, fetched, origin);
                 }
                 if fleet.known_versions() != before {
                     break;
@@ -88,6 +171,16 @@
         });
     }
 
+    fn origin(&self, provider: SocketAddr, source: SocketAddr) -> Origin {
+        if provider != source {
+            Origin::Neighbour
+        } else if Some(source) == self.table.borrow().leader_address {
+            Origin::Leader
+        } else {
+            Origin::Peer
+        }
+    }
+
     /// The member of the own zone from which this daemon fetches what the leader at `source` has;
     /// `None` if it fetches from the leader itself.
     fn neighbour(&self, source: SocketAddr) -> Option<SocketAddr> {
@@ -149,7 +242,7 @@
         })
     }
 
-    fn apply_document(self: &Rc<Self>, document: Document, content: Fetched) {
+    fn apply_document(self: &Rc<Self>, document: Document, content: Fetched, origin: Origin) {
         let outcome = match (document, content) {
             (Document::Table, Fetched::Differences(bytes)) => {
                 // Differences that don't fit any more are asked for again at the next datagram.
@@ -167,7 +260,7 @@
                 config.map(|config: Config| {
                     self.apply_zones(config.zones.clone(), config.zones_revision);
                     self.adopt_zones_revision(config.zones_revision);
-                    self.apply_config(config);
+                    self.apply_config(config, origin);
                 })
             }
         };
@@ -208,7 +301,7 @@
 
     /// Puts a configuration in force if it is newer. Its zones are replaced by those in force,
     /// which have a revision of their own.
-    pub(super) fn apply_config(&self, mut config: Config) {
+    pub(super) fn apply_config(&self, mut config: Config, origin: Origin) {
         let zones = {
             let old = self.config.borrow();
             if config.version <= old.version {
@@ -217,7 +310,16 @@
             (old.zones.clone(), old.zones_revision)
         };
         (config.zones, config.zones_revision) = zones;
-        log!(info, Event::ConfigInForce, version = config.version);
+        let (waited, fetches) = self.fetches.end_wait(config.version, clock::now());
+        metric::count_config(origin.name(), waited);
+        log!(
+            info,
+            Event::ConfigInForce,
+            version = config.version,
+            from = %origin,
+            waited_ms = waited.as_millis() as u64,
+            fetches
+        );
         *self.router.borrow_mut() = Arc::new(Router::new(&config));
         self.replace_config(config);
     }
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -9,6 +9,7 @@
 
 use crate::event::Event;
 use crate::fleet::Fleet;
+use crate::fleet::documents::Origin;
 use crate::{clock, log, metric};
 
 /// Maximum length of a reason that is kept, in characters: odd content can be long.
@@ -67,9 +68,17 @@
                     if matches!(error, Error::Malformed(_)) {
                         watch.after = None;
                     }
-                    log!(info, Event::PlatformUnavailable, what = watch.kind, reason = %error);
+                    let delay = watch.backoff.next_delay();
+                    log!(
+                        info,
+                        Event::PlatformUnavailable,
+                        what = watch.kind,
+                        reason = %error,
+                        took_ms = clock::now().saturating_sub(requested_at).as_millis() as u64,
+                        retry_ms = delay.as_millis() as u64
+                    );
                     self.record_store_error();
-                    tokio::time::sleep(watch.backoff.next_delay()).await;
+                    tokio::time::sleep(delay).await;
                 }
             }
         }
@@ -147,7 +156,7 @@
                 match config::parse(&object.value) {
                     Ok(parsed) => {
                         self.note_unreadable("configuration", parsed.rejected);
-                        self.apply_config(parsed.config);
+                        self.apply_config(parsed.config, Origin::Store);
                     }
                     Err(error) => self.note_unreadable("configuration", vec![error.to_string()]),
                 }
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -1,9 +1,10 @@
 //! Names of the daemon's metrics, and functions that update them.
 
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use cactushold_admission::OmittedLines;
 use cactushold_attempt::FailureKind;
+use cactushold_wire::schema::Document;
 
 /// Requests refused, by kind of failure.
 pub const REFUSALS: &str = "cactushold_refusals_total";
@@ -23,6 +24,12 @@
 pub const PLATFORM_CALLS: &str = "cactushold_platform_calls_total";
 /// Bytes of documents fetched from peers.
 pub const FETCHED_BYTES: &str = "cactushold_fetched_bytes_total";
+/// Fetches of documents from peers, by document, origin and outcome.
+pub const FETCHES: &str = "cactushold_fetches_total";
+/// Configurations put in force, by origin.
+pub const CONFIGS: &str = "cactushold_configs_total";
+/// Time between hearing of a configuration and having it in force, in milliseconds, by origin.
+pub const CONFIG_WAITS: &str = "cactushold_config_wait_milliseconds_total";
 /// Slices served.
 pub const SLICES_SERVED: &str = "cactushold_slices_served";
 /// Version of the configuration in force.
@@ -103,3 +110,35 @@
 pub fn count_retry(kind: FailureKind) {
     metrics::counter!(RETRIES, "kind" => kind.name()).increment(1);
 }
+
+/// Outcome of a fetch of a document from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fetch {
+    /// The peer sent content, which may be older than what is in force here.
+    Content,
+    /// The peer had nothing newer, or couldn't be reached.
+    Nothing,
+    /// The peer didn't answer in time.
+    TimedOut,
+}
+
+/// Counts a fetch of a document from a peer.
+pub fn count_fetch(document: Document, origin: &'static str, outcome: Fetch) {
+    let document = match document {
+        Document::Table => "table",
+        Document::Config => "config",
+    };
+    let outcome = match outcome {
+        Fetch::Content => "content",
+        Fetch::Nothing => "nothing",
+        Fetch::TimedOut => "timed-out",
+    };
+    let labels = [("document", document), ("from", origin), ("outcome", outcome)];
+    metrics::counter!(FETCHES, &labels).increment(1);
+}
+
+/// Counts a configuration put in force, `waited` after this daemon heard of it.
+pub fn count_config(origin: &'static str, waited: Duration) {
+    metrics::counter!(CONFIGS, "from" => origin).increment(1);
+    metrics::counter!(CONFIG_WAITS, "from" => origin).increment(waited.as_millis() as u64);
+}
