Notice lost watches in each zone, not only at the leader

What callers see: with the watches' answers lost in an outage and the leader turned away afterwards, a changed configuration came into force 3.9 s after the store had confirmed it (2 s are allowed on that deployment), e.g. a withdrawn key kept working.

Cause: a watch whose connection went silent is noticed after its own timeout, 25 s, by every daemon but the leader, which alone used 1.5 s. So nobody knew of the change until the leader had resigned. Class: detection of a silent loss left to a single component.

Change: the first watcher of each zone uses watches of 1.5 s too; the leader and members that it doesn't hear aren't counted as watchers; who watches for others pauses 600 ms at most after failures (5 s before); a watcher tells the leader at once what the store had newer, instead of with its next heartbeat; a watch ends early also when its daemon becomes the first watcher.

Ruled out: the members' fetches (in the failing runs all four had it within 1 ms of each other).

Costs 1.3 calls to the store a second and zone.

--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -207,12 +207,18 @@
         (!self.silent_members.borrow().contains(&id)).then_some(address)
     }
 
-    /// Whether this daemon is one of the few of its zone that watch the store for all.
-    pub(super) fn is_zone_watcher(&self) -> bool {
+    /// The place of this daemon among the few of its zone that watch the store for all; `None` if it
+    /// isn't one of them. The leader watches anyway, and members that it doesn't hear can't tell it
+    /// of changes.
+    pub(super) fn zone_watcher_rank(&self) -> Option<usize> {
         let table = self.table.borrow();
+        let silent = self.silent_members.borrow();
         let zone = &self.shared.instance.zone;
-        let members = table.members.iter().filter(|(_, member)| member.zone == *zone);
-        members.take(WATCHERS_PER_ZONE).any(|(id, _)| *id == self.id())
+        let members = table.members.iter().filter(|(id, member)| {
+            let is_leader = Some(member.address) == table.leader_address;
+            member.zone == *zone && !is_leader && !silent.contains(id)
+        });
+        members.take(WATCHERS_PER_ZONE).position(|(id, _)| *id == self.id())
     }
 
     async fn fetch(&self, source: SocketAddr, document: Document) -> Option<Fetched> {
--- a/crates/daemon/src/fleet/election.rs
+++ b/crates/daemon/src/fleet/election.rs
@@ -264,7 +264,6 @@
                 self.apply_table(next);
                 self.tasks.spawn_finite("entries", Rc::clone(self).watch_entries());
                 self.announce_versions();
-                self.leadership_started.notify_waiters();
                 Ok(())
             }
             PutOutcome::Conflict => {
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -101,8 +101,6 @@
     knows_departures: Cell<bool>,
     /// The departures in the stored entry.
     stored_departures: watch::Sender<Departures>,
-    /// Ends long watch requests to the store when this daemon becomes the leader.
-    leadership_started: Notify,
 }
 
 impl Fleet {
@@ -142,7 +140,6 @@
             written_entry: RefCell::default(),
             knows_departures: Cell::new(false),
             stored_departures: watch::Sender::default(),
-            leadership_started: Notify::new(),
         }
     }
 
--- a/crates/daemon/src/fleet/store.rs
+++ b/crates/daemon/src/fleet/store.rs
@@ -6,6 +6,7 @@
 
 use cactushold_platform::config::{self, CONFIG, EVACUATION_KIND};
 use cactushold_platform::{Backoff, Change, Changes, Error, Listing, Object, Revision};
+use cactushold_wire::signal::KnownVersions;
 
 use crate::event::Event;
 use crate::fleet::Fleet;
@@ -17,12 +18,14 @@
 /// Maximum number of reasons that are kept for one object.
 const MAX_REASONS: usize = 20;
 /// How long the store holds a watch request open. A watch whose connection has stalled is noticed
-/// only after this time, unless the leader announces a newer version first.
+/// only after this time, unless another daemon announces a newer version first.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
-/// How long the store holds a leader's watch request open. It is short because the leader's
-/// heartbeats tell the others what their own watches miss, and they have to do so well before a
-/// change must be in force.
-const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for the leader and the first watcher of each zone, which tell the others what their own
+/// watches miss. It is short, since a change has to be in force everywhere soon after the connections
+/// stalled, also if the store then turns the leader away.
+pub(super) const SHORT_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum time between two attempts of a daemon that watches the store for others.
+const MAX_WATCHER_BACKOFF: Duration = Duration::from_millis(600);
 
 /// Time without an answer of the leader after which a daemon watches the store itself.
 const LEADER_SILENCE: Duration = Duration::from_secs(1);
@@ -68,7 +71,9 @@
                     if matches!(error, Error::Malformed(_)) {
                         watch.after = None;
                     }
-                    let delay = watch.backoff.next_delay();
+                    let longest =
+                        if self.watches_for_others() { MAX_WATCHER_BACKOFF } else { Duration::MAX };
+                    let delay = watch.backoff.next_delay().min(longest);
                     log!(
                         info,
                         Event::PlatformUnavailable,
@@ -90,13 +95,32 @@
     async fn until_watcher(&self) {
         loop {
             let silence = clock::now().saturating_sub(self.leader_heard_at.get());
-            if self.is_leading() || self.is_zone_watcher() || silence > LEADER_SILENCE {
+            if self.watches_for_others() || silence > LEADER_SILENCE {
                 return;
             }
             tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
         }
     }
 
+    fn watches_for_others(&self) -> bool {
+        self.is_leading() || self.zone_watcher_rank().is_some()
+    }
+
+    fn watch_timeout(&self) -> Duration {
+        if self.is_leading() || self.zone_watcher_rank() == Some(0) {
+            SHORT_WATCH_TIMEOUT
+        } else {
+            WATCH_TIMEOUT
+        }
+    }
+
+    /// Waits until this daemon's watches have to be shorter than `timeout`.
+    async fn until_watch_is_shorter(&self, timeout: Duration) {
+        while self.watch_timeout() >= timeout {
+            tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn read_update(&self, watch: &mut KindWatch) -> Result<Update, Error> {
         match watch.after {
             None => {
@@ -105,11 +129,10 @@
                 Ok(Update::Snapshot(listing))
             }
             Some(after) => {
-                let wait = if self.is_leading() { LEADER_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
+                let wait = self.watch_timeout();
                 let changes = tokio::select! {
                     changes = self.platform.watch(watch.kind, after, wait) => changes?,
-                    // A leader uses shorter watches, since the others depend on them.
-                    () = self.leadership_started.notified() => {
+                    () = self.until_watch_is_shorter(wait) => {
                         return Ok(Update::Changes(Changes::default()));
                     }
                 };
@@ -156,7 +179,9 @@
                 match config::parse(&object.value) {
                     Ok(parsed) => {
                         self.note_unreadable("configuration", parsed.rejected);
+                        let before = self.known_versions();
                         self.apply_config(parsed.config, Origin::Store);
+                        self.tell_leader_if_newer(before);
                     }
                     Err(error) => self.note_unreadable("configuration", vec![error.to_string()]),
                 }
@@ -186,10 +211,20 @@
                 }
             }
             let revision = watch.after.unwrap_or_default();
+            let before = self.known_versions();
             self.apply_zones(
                 config::evacuated_zones(evacuated.iter().map(String::as_str)),
                 revision,
             );
+            self.tell_leader_if_newer(before);
+        }
+    }
+
+    /// Sends the next heartbeat at once if the store had something newer: the leader may not learn
+    /// of it from the store.
+    fn tell_leader_if_newer(&self, before: KnownVersions) {
+        if self.known_versions() != before {
+            self.heartbeat_due.notify_one();
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/tests/platform/config_spread.rs
@@ -0,0 +1,46 @@
+//! Changes of the configuration reach each daemon in time, whoever of them learns of a change.
+
+use std::time::Duration;
+
+use cactushold_standin::environment::Environment;
+use futures::future::join_all;
+use serde_json::json;
+
+use crate::cases::{config, deployment_with_doors, leader, until};
+
+/// Time within which a change has to be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// The time that each daemon but one takes until a version is in force.
+async fn times_in_force(environment: &Environment, except: usize, version: u64) -> Vec<Duration> {
+    let others = (0..environment.daemons.len()).filter(|index| *index != except);
+    join_all(others.map(async |index| {
+        until(&format!("version {version} at daemon {index}"), async || {
+            environment.status(index).await["config_version"].as_u64() >= Some(version)
+        })
+        .await
+    }))
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_while_the_leader_is_turned_away_and_watches_went_silent() {
+    let environment = deployment_with_doors().await;
+    let all = 0..environment.daemons.len();
+    for index in all.clone() {
+        environment.door_faults(index, json!({ "mute": true })).await;
+    }
+    // The answers to the watches are lost.
+    environment.store("config", "main", &config(2)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for index in all.clone() {
+        environment.door_faults(index, json!({})).await;
+    }
+    times_in_force(&environment, all.end, 2).await;
+    let leader = leader(&environment).await;
+    environment.door_faults(leader, json!({ "mute": true })).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    environment.store("config", "main", &config(3)).await;
+    let times = times_in_force(&environment, leader, 3).await;
+    assert!(times.iter().all(|time| *time < IN_FORCE), "{times:?}");
+}
--- a/crates/daemon/tests/platform/main.rs
+++ b/crates/daemon/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod callers_leave;
 mod cases;
 mod clocks;
+mod config_spread;
 mod configuration;
 mod cut_answers;
 mod cuts;
