Notice a lost watch on the members' entries within its short timeout

What callers see: a server that joined after the connection of the leader's watch on the entries had gone silent got no requests for 16.2 s (4 s are allowed).

Cause: the same as of the watches on the configuration: 20 s until a lost watch is noticed, and nothing else tells the leader. Found by looking for the same cause elsewhere.

Change: the watch takes 1.5 s like the leader's others.

Costs one call to the store every 1.5 s.

--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use cactushold_ownership::{Heartbeat, HolderId, Renewal, Table, Time};
 use cactushold_placement::QUOTA;
@@ -14,11 +13,9 @@
 use crate::fleet::Fleet;
 use crate::fleet::election::TABLE;
 use crate::fleet::entry::{ENTRY_KIND, Entry};
+use crate::fleet::store::SHORT_WATCH_TIMEOUT;
 use crate::{clock, log};
 
-/// How long the store holds a watch request open.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Entries that can't be read: instance and reason.
 type UnreadableEntries = BTreeMap<String, String>;
 
@@ -174,7 +171,7 @@
             self.note_unreadable_entries(unreadable);
             return Ok(listing.revision);
         };
-        let changes = self.platform.watch(ENTRY_KIND, after, WATCH_TIMEOUT).await?;
+        let changes = self.platform.watch(ENTRY_KIND, after, SHORT_WATCH_TIMEOUT).await?;
         unreadable.extend(changes.skipped.into_iter().map(|reason| (String::new(), reason)));
         for change in changes.changes {
             match change {
--- a/crates/daemon/tests/platform/config_spread.rs
+++ b/crates/daemon/tests/platform/config_spread.rs
@@ -10,6 +10,10 @@
 
 /// Time within which a change has to be in force.
 const IN_FORCE: Duration = Duration::from_secs(2);
+/// Time after a disturbance of the store from which bounds hold again.
+const STABLE: Duration = Duration::from_secs(3);
+/// Time from which a server that joined has to get requests.
+const JOINED: Duration = Duration::from_secs(4);
 
 /// The time that each daemon but one takes until a version is in force.
 async fn times_in_force(environment: &Environment, except: usize, version: u64) -> Vec<Duration> {
@@ -44,3 +48,22 @@
     let times = times_in_force(&environment, leader, 3).await;
     assert!(times.iter().all(|time| *time < IN_FORCE), "{times:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_joins_after_the_leaders_watch_went_silent_becomes_a_member() {
+    let mut environment = deployment_with_doors().await;
+    let leader = leader(&environment).await;
+    environment.door_faults(leader, json!({ "mute": true })).await;
+    // The answer to the leader's watch is lost.
+    environment.store("cactushold-members", "other", &json!({})).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    environment.door_faults(leader, json!({})).await;
+    tokio::time::sleep(STABLE).await;
+    environment.add_reporting("ruling-3", "c", "ruling").await;
+    let time = until("it is a member", async || {
+        let status = environment.status(leader).await;
+        status["members"].as_array().is_some_and(|members| members.len() == 6)
+    })
+    .await;
+    assert!(time < JOINED, "{time:?}");
+}
