Let a neighbour wait until it has a newer configuration, and encode it once

What callers may see: on a fleet with many daemons a zone, a change that is late at those behind a neighbour that hasn't got it yet.

Cause: a fetch of the configuration told the version that the caller has, but not the revision of its zones, so a neighbour without anything newer sent the whole old configuration after 100 ms, and the caller went on to ask the leader, as did all others of its place. Each answer was encoded and compressed anew.

Change: the caller tells the revision of its zones too; the neighbour waits up to 250 ms, as for the table, and sends nothing if it has nothing newer. A configuration is encoded once for all that ask for it. Daemons that don't tell their zones get what they got before.

Measured: a_daemon_that_is_asked_before_a_change_has_reached_it_waits_for_the_change fails before (the old configuration comes back), passes after.

--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -229,6 +229,7 @@
             Document::Table => self.table.borrow().version,
             Document::Config => self.config.borrow().version,
         });
+        call.get().set_have_zones(self.config.borrow().zones_revision);
         call.get().set_compact(true);
         let _call_guard = link.start();
         let results = call.send().promise.await.ok()?;
@@ -364,6 +365,7 @@
         let mut config = self.config.borrow_mut();
         if revision > config.zones_revision {
             Arc::make_mut(&mut config).zones_revision = revision;
+            self.encoded_config.take();
         }
     }
 
@@ -373,6 +375,7 @@
             self.shared.guard().set_service(service);
         }
         *self.config.borrow_mut() = Arc::new(config);
+        self.encoded_config.take();
         self.publish(clock::now());
         if self.is_leading() {
             self.announce_versions();
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use cactushold_config::{Config, Router};
@@ -58,6 +58,8 @@
     started_at: Time,
     config: RefCell<Arc<Config>>,
     router: RefCell<Arc<Router>>,
+    /// The configuration in the form that other daemons fetch.
+    encoded_config: RefCell<Arc<OnceLock<Vec<u8>>>>,
     table: RefCell<Arc<Table>>,
     /// The table in the form that requests are routed by.
     routing_table: RefCell<Arc<RoutingTable>>,
@@ -116,6 +118,7 @@
             started_at: clock::now(),
             config: RefCell::default(),
             router: RefCell::default(),
+            encoded_config: RefCell::default(),
             table: RefCell::default(),
             routing_table: RefCell::default(),
             server: RefCell::default(),
--- a/crates/daemon/src/fleet/publish.rs
+++ b/crates/daemon/src/fleet/publish.rs
@@ -93,6 +93,7 @@
             id: self.id(),
             config: Arc::clone(&self.config.borrow()),
             router: Arc::clone(&self.router.borrow()),
+            encoded_config: Arc::clone(&self.encoded_config.borrow()),
             table: Arc::clone(&self.routing_table.borrow()),
             acquired: fences.keys().map(|slice| (*slice, Time::ZERO)).chain(acquired).collect(),
             fences: fences
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -29,9 +29,11 @@
 
 /// How long a fetch waits for a newer version to arrive here.
 const MAX_FETCH_WAIT: Duration = Duration::from_millis(250);
-/// How long the fetch of a configuration waits for a newer version: it is sent also without one,
-/// since its zones may be newer.
+/// How long the fetch of a configuration waits for a newer version if the caller doesn't tell which
+/// zones it has: it is sent also without one, since its zones may be newer.
 const CONFIG_WAIT: Duration = Duration::from_millis(100);
+/// Revision of the zones of a caller that doesn't tell it.
+const UNKNOWN_ZONES: u64 = u64::MAX;
 /// Time between two looks for it.
 const FETCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Delay after a failed accept, such as when no file descriptor is left.
@@ -110,13 +112,15 @@
 }
 
 impl Server {
-    /// Waits a moment until a document newer than version `have` is in force here: a daemon asks as
-    /// soon as it hears of it, possibly sooner than it has arrived here. Returns the version and the
-    /// compressed content, which is empty if there is nothing newer.
+    /// Waits a moment until a document newer than version `have`, or than the zones of revision
+    /// `have_zones`, is in force here: a daemon asks as soon as it hears of it, possibly sooner than
+    /// it has arrived here. Returns the version and the compressed content, which is empty if there
+    /// is nothing newer.
     async fn newer_document(
         &self,
         document: Document,
         have: u64,
+        have_zones: u64,
     ) -> Result<(u64, Vec<u8>), capnp::Error> {
         let failed = |error: serde_json::Error| capnp::Error::failed(error.to_string());
         let asked_at = clock::now();
@@ -127,17 +131,25 @@
                 (Document::Table, None) => (view.table.version, None),
                 (Document::Config, _) => (view.config.version, None),
             };
-            // The zones in a configuration have a revision of their own, which isn't asked with.
-            let is_due = document == Document::Config && clock::now() > asked_at + CONFIG_WAIT;
-            if version > have || is_due {
+            let waited = clock::now().saturating_sub(asked_at);
+            let has_newer_zones = document == Document::Config
+                && match have_zones {
+                    UNKNOWN_ZONES => waited > CONFIG_WAIT,
+                    known => view.config.zones_revision > known,
+                };
+            if version > have || has_newer_zones {
                 let content = match (document, agreed) {
-                    (Document::Table, Some(agreed)) => view.history.encode_since(have, agreed),
-                    (Document::Table, None) => serde_json::to_vec(&*view.table).map_err(failed)?,
-                    (Document::Config, _) => serde_json::to_vec(&*view.config).map_err(failed)?,
+                    (Document::Table, Some(agreed)) => {
+                        compress(&view.history.encode_since(have, agreed))
+                    }
+                    (Document::Table, None) => {
+                        compress(&serde_json::to_vec(&*view.table).map_err(failed)?)
+                    }
+                    (Document::Config, _) => encoded_config(&view).map_err(failed)?,
                 };
-                return Ok((version, compress(&content)));
+                return Ok((version, content));
             }
-            if clock::now() > asked_at + MAX_FETCH_WAIT {
+            if waited > MAX_FETCH_WAIT {
                 return Ok((version, Vec::new()));
             }
             tokio::time::sleep(FETCH_POLL_INTERVAL).await;
@@ -149,6 +161,16 @@
 /// memory.
 const MAX_DOCUMENT_BYTES: u64 = 32 << 20;
 
+/// The compressed configuration in force. Many daemons ask for the same version at the same time, so
+/// it is encoded once.
+fn encoded_config(view: &View) -> serde_json::Result<Vec<u8>> {
+    if let Some(encoded) = view.encoded_config.get() {
+        return Ok(encoded.clone());
+    }
+    let encoded = compress(&serde_json::to_vec(&*view.config)?);
+    Ok(view.encoded_config.get_or_init(|| encoded).clone())
+}
+
 fn compress(content: &[u8]) -> Vec<u8> {
     let mut encoder = flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::fast());
     // Writing to a `Vec` never fails.
@@ -192,7 +214,8 @@
         let params = params.get()?;
         let (document, have) = (params.get_document()?, params.get_have());
         if params.get_compact() {
-            let (version, content) = self.newer_document(document, have).await?;
+            let have_zones = params.get_have_zones();
+            let (version, content) = self.newer_document(document, have, have_zones).await?;
             let mut out = results.get();
             out.set_version(version);
             out.set_content(&content);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -7,7 +7,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{
+    Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard,
+};
 use std::time::Duration;
 
 use cactushold_admission::{LogRate, LogReason, OmittedLines, RequestLogLimiter, Shutdown};
@@ -36,6 +38,8 @@
     pub config: Arc<Config>,
     /// Index of its routes and keys.
     pub router: Arc<Router>,
+    /// The configuration in the form that other daemons fetch, once one of them has.
+    pub encoded_config: Arc<OnceLock<Vec<u8>>>,
     /// Slice table in force.
     pub table: Arc<Table>,
     /// Fences of the slices for which the upstream accepted a grant.
--- a/crates/daemon/tests/platform/config_spread.rs
+++ b/crates/daemon/tests/platform/config_spread.rs
@@ -2,11 +2,17 @@
 
 use std::time::Duration;
 
+use cactushold_config::Config;
 use cactushold_standin::environment::Environment;
+use cactushold_wire::schema::{Document, peer};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use futures::future::join_all;
 use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use crate::cases::{config, deployment_with_doors, leader, until};
+use crate::cases::{config, deployment, deployment_with_doors, leader, until};
 
 /// Time within which a change has to be in force.
 const IN_FORCE: Duration = Duration::from_secs(2);
@@ -67,3 +73,47 @@
     .await;
     assert!(time < JOINED, "{time:?}");
 }
+
+/// Fetches the configuration from a daemon as one that has a version and zones of a revision;
+/// `None` if there is nothing newer.
+async fn fetch(environment: &Environment, index: usize, have: &Config) -> Option<Config> {
+    let stream = TcpStream::connect(environment.daemons[index].peers).await.expect("a daemon");
+    let (reader, writer) = stream.into_split();
+    let network = VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        Side::Client,
+        capnp::message::ReaderOptions::new(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let peer: peer::Client = system.bootstrap(Side::Server);
+    let running = tokio::task::spawn_local(system);
+    let mut call = peer.fetch_request();
+    call.get().set_document(Document::Config);
+    call.get().set_have(have.version);
+    call.get().set_have_zones(have.zones_revision);
+    call.get().set_compact(true);
+    let results = call.send().promise.await.expect("an answer");
+    let content = results.get().expect("results").get_content().expect("content").to_vec();
+    running.abort();
+    let decoder = flate2::read::DeflateDecoder::new(content.as_slice());
+    (!content.is_empty()).then(|| serde_json::from_reader(decoder).expect("a configuration"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_is_asked_before_a_change_has_reached_it_waits_for_the_change() {
+    let environment = deployment().await;
+    LocalSet::new()
+        .run_until(async {
+            let nothing = Config::default();
+            let first = fetch(&environment, 1, &nothing).await.expect("the configuration");
+            assert_eq!(fetch(&environment, 1, &first).await, None, "nothing is newer");
+            let change = async {
+                tokio::time::sleep(Duration::from_millis(150)).await;
+                environment.store("config", "main", &config(2)).await;
+            };
+            let (second, ()) = tokio::join!(fetch(&environment, 1, &first), change);
+            assert_eq!(second.expect("the change").version, 2);
+        })
+        .await;
+}
--- a/crates/wire/schema.capnp
+++ b/crates/wire/schema.capnp
@@ -178,8 +178,10 @@
 interface Peer {
   forward @0 (request :Request) -> (answer :Answer);
   # The content is compact only if the caller asks for it: then the table comes as the differences
-  # since the version that the caller has, if these are kept, and nothing newer leaves it empty.
-  fetch @1 (document :Document, have :UInt64, compact :Bool)
+  # since the version that the caller has, if these are kept, and nothing newer leaves it empty. The
+  # zones in a configuration have a revision of their own; default: the caller doesn't tell its own.
+  fetch @1 (document :Document, have :UInt64, compact :Bool,
+            haveZones :UInt64 = 0xffffffffffffffff)
     -> (version :UInt64, content :Data, compact :Bool);
   patch @2 (content :Data) -> (outcome :Data);
   report @3 (content :Data) -> (accepted :Bool);
--- a/crates/wire/src/schema_capnp.rs
+++ b/crates/wire/src/schema_capnp.rs
@@ -8367,11 +8367,15 @@
             pub fn get_compact(self) -> bool {
                 self.reader.get_bool_field(16)
             }
+            #[inline]
+            pub fn get_have_zones(self) -> u64 {
+                self.reader.get_data_field_mask::<u64>(2, 18446744073709551615)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8445,6 +8449,14 @@
             pub fn set_compact(&mut self, value: bool)  {
                 self.builder.set_bool_field(16, value);
             }
+            #[inline]
+            pub fn get_have_zones(self) -> u64 {
+                self.builder.get_data_field_mask::<u64>(2, 18446744073709551615)
+            }
+            #[inline]
+            pub fn set_have_zones(&mut self, value: u64)  {
+                self.builder.set_data_field_mask::<u64>(2, value, 18446744073709551615);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8456,45 +8468,52 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(110, 44, 139, 59, 215, 45, 60, 220),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(115, 99, 104, 101, 109, 97, 46, 99),
                 ::capnp::word(97, 112, 110, 112, 58, 80, 101, 101),
                 ::capnp::word(114, 46, 102, 101, 116, 99, 104, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 16, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(100, 111, 99, 117, 109, 101, 110, 116),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
@@ -8520,12 +8539,22 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 97, 118, 101, 90, 111, 110, 101),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::schema_capnp::Document as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8539,9 +8568,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,3];
             pub(crate) const TYPE_ID: u64 = 0xdc3c_2dd7_3b8b_2c6e;
         }
     }
