Ask the leader for a configuration although a new table arrived meanwhile

Cause: a fetch asks a neighbour, then the leader, and ended as soon as any document was newer than at its start. While tables follow one another, a new table ended the fetch of a configuration after a neighbour that didn't answer, and the leader was asked only if the next try, 400 ms later at most, met no new table.

Change: a fetch ends once its own document is newer (KnownVersions::has_newer).

Evidence: by reading; the property test fails if any newer document counts.

--- a/crates/daemon/src/fleet/documents.rs
+++ b/crates/daemon/src/fleet/documents.rs
@@ -132,11 +132,10 @@
         if known.config > own.config {
             self.fetches.note_announced(known.config, own.config, clock::now());
         }
-        if known.table > own.table {
-            self.start_fetch(source, Document::Table);
-        }
-        if known.config > own.config || known.zones > own.zones {
-            self.start_fetch(source, Document::Config);
+        for document in [Document::Table, Document::Config] {
+            if known.has_newer(document, own) {
+                self.start_fetch(source, document);
+            }
         }
     }
 
@@ -163,7 +162,7 @@
                 if let Ok(Some(fetched)) = fetched {
                     fleet.apply_document(document, fetched, origin);
                 }
-                if fleet.known_versions() != before {
+                if fleet.known_versions().has_newer(document, before) {
                     break;
                 }
             }
--- a/crates/wire/src/signal.rs
+++ b/crates/wire/src/signal.rs
@@ -8,7 +8,7 @@
 use capnp::serialize_packed;
 
 use crate::datagram::Error;
-use crate::schema_capnp::{heartbeat, range_release, renewal, signal};
+use crate::schema_capnp::{Document, heartbeat, range_release, renewal, signal};
 
 /// Value on the wire for an unknown age or time.
 const UNKNOWN_MS: u32 = u32::MAX;
@@ -30,6 +30,25 @@
     pub zones: u64,
 }
 
+impl KnownVersions {
+    /// Whether a document is newer here than in `other`.
+    ///
+    /// ```
+    /// use cactushold_wire::schema::Document;
+    /// use cactushold_wire::signal::KnownVersions;
+    /// let old = KnownVersions { table: 3, config: 5, ..KnownVersions::default() };
+    /// let new = KnownVersions { table: 4, ..old };
+    /// assert!(new.has_newer(Document::Table, old));
+    /// assert!(!new.has_newer(Document::Config, old));
+    /// ```
+    pub fn has_newer(self, document: Document, other: KnownVersions) -> bool {
+        match document {
+            Document::Table => self.table > other.table,
+            Document::Config => self.config > other.config || self.zones > other.zones,
+        }
+    }
+}
+
 /// Content of a signal.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Content {
