--- a/crates/daemon/tests/platform/grace.rs
+++ b/crates/daemon/tests/platform/grace.rs
@@ -158,7 +158,9 @@
     environment.daemons[stopped].terminate();
     until("the daemon stopped", async || environment.daemons[stopped].end().is_some()).await;
     let took = start.elapsed();
-    assert!(took < environment.grace.mul_f64(PART) + RUN, "it stopped after {took:?}");
+    let log = || environment.daemons[stopped].log().join("\n");
+    let latest = environment.grace.mul_f64(PART) + RUN;
+    assert!(took < latest, "it stopped after {took:?}\n{}", log());
     assert_eq!(environment.daemons[stopped].exit_code(), Some(0));
     ended.store(true, Ordering::Relaxed);
     let mut seen = Seen::new();
